--- /dev/null
+++ b/packages/caller/include/apricotrock/caller.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "apricotrock/base.h"
+#include "apricotrock/http.h"
+
+namespace apricotrock::caller {
+
+struct Parameters
+{
+    Endpoint address;
+    std::size_t threads = 1;
+    std::size_t maxBodyBytes = 0;
+    std::size_t maxHeaderBytes = 0;
+    std::chrono::milliseconds idleTimeout{};
+    /// Longest time that a request may take to be answered.
+    std::chrono::milliseconds answerTimeout{};
+};
+
+/// A complete request with the address that it came from.
+struct IncomingRequest
+{
+    RequestId id = 0;
+    HttpRequest request;
+    std::string remoteAddress;
+};
+
+struct Callbacks
+{
+    /// Called on a listener thread; must not block. Every request is answered by answer() exactly
+    /// once.
+    std::function<void(IncomingRequest request)> onRequest;
+    /// The caller closed its connection before the answer.
+    std::function<void(RequestId id)> onCallerGone;
+};
+
+struct Counters
+{
+    std::uint64_t requests = 0;
+    std::uint64_t answers = 0;
+    /// Answers whose caller was gone.
+    std::uint64_t answersDropped = 0;
+    std::uint64_t malformedRequests = 0;
+    std::uint64_t openConnections = 0;
+};
+
+/// HTTP/1.1 listener (RESTinio).
+class Listener
+{
+public:
+    Listener(Parameters parameters, Callbacks callbacks);
+    ~Listener();
+    Listener(const Listener &) = delete;
+    Listener &operator=(const Listener &) = delete;
+
+    /// Opens the socket; an error names the address.
+    Result<void> start();
+    /// Thread safe. \a closeConnection adds `Connection: close`.
+    void answer(RequestId id, const HttpResponse &response, bool closeConnection);
+    [[nodiscard]] Counters counters() const;
+    /// Stops accepting connections and ends the threads; unanswered requests are dropped.
+    void stop();
+
+private:
+    struct Private;
+    std::unique_ptr<Private> m_private;
+};
+
+} // namespace apricotrock::caller
