Routing: Add thin selection, queue and attempt handling

Chooses the active backend server with the fewest local attempts within its slots, queues by class and deadline, expires, completes and fails requests. Retries, hedges, ejection, probes and hints are still missing.

--- /dev/null
+++ b/packages/routing/src/attempts.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "state.h"
+
+namespace apricotrock::routing {
+
+/// Starts one attempt of a request that does not wait.
+void startAttempt(State &state, RequestState &request, const EndpointPtr &endpoint, TimePoint now,
+                  Output &output);
+/// Cancels all running attempts of \a request and forgets them.
+void cancelAttempts(State &state, RequestState &request, Output &output);
+
+} // namespace apricotrock::routing
--- /dev/null
+++ b/packages/routing/src/counters.cpp
@@ -0,0 +1,44 @@
+#include "state.h"
+
+namespace apricotrock::routing {
+
+std::uint64_t counter(const State &state, Counter counter)
+{
+    return state.counters.at(static_cast<std::size_t>(counter));
+}
+
+std::string_view counterName(Counter counter)
+{
+    static constexpr std::array<std::string_view, static_cast<std::size_t>(Counter::Count)> names =
+        {"retry_after_connect_failed",
+         "retry_after_shed",
+         "retry_after_connection_lost",
+         "retry_after_invalid_answer",
+         "retry_after_timeout",
+         "retry_denied_by_budget",
+         "hedge_started",
+         "hedge_won",
+         "hedge_denied_by_budget",
+         "probe_started",
+         "probe_denied_by_budget",
+         "endpoint_ejected",
+         "endpoint_returned",
+         "ejection_denied_by_cap",
+         "drain_seen"};
+    return names.at(static_cast<std::size_t>(counter));
+}
+
+std::vector<BackendStatus> backendStatus(const State &state, TimePoint /*now*/)
+{
+    std::vector<BackendStatus> status;
+    for (const auto &[name, endpoint] : state.endpoints) {
+        const bool isDraining =
+            endpoint->isLeaving || endpoint->server.state == BackendServerState::Draining;
+        status.push_back({name, endpoint->server.service, isDraining ? "leaving" : "active",
+                          endpoint->outstanding, static_cast<double>(endpoint->outstanding),
+                          static_cast<double>(endpoint->server.slots)});
+    }
+    return status;
+}
+
+} // namespace apricotrock::routing
