--- a/packages/settings/include/apricotrock/fields.h
+++ b/packages/settings/include/apricotrock/fields.h
@@ -107,9 +107,13 @@
 /// Reads `512B`, `64KiB`, `1MiB`, `1GiB`.
 std::optional<std::uint64_t> parseBytes(std::string_view text);
 std::string formatDuration(std::chrono::microseconds duration);
+/// Returns true for 1 to 64 letters, digits, '-', '_' and '.', not starting with '-' or '.'.
+bool isName(std::string_view text);
 
 /// Splits INI text into sections in their order; a section that appears twice is a problem.
 std::vector<RawSection> parseIni(const std::string &file, const std::string &text,
                                  std::vector<Problem> &problems);
+/// Returns the content of \a file; a file that cannot be read or is above 16 MiB is a problem.
+std::optional<std::string> readTextFile(const std::string &file, std::vector<Problem> &problems);
 
 } // namespace apricotrock
