--- a/packages/settings/src/parseini.cpp
+++ b/packages/settings/src/parseini.cpp
@@ -124,13 +124,12 @@
     {
         if (header.empty())
             return report("", "[]", "section header is empty", "write [KIND NAME] or [SECTION]");
-        for (const RawSection &section : m_sections) {
-            if (section.header == header)
-                return report(header, "",
-                              "section appears twice; the first is in line "
-                                  + std::to_string(section.lines.at("")),
-                              "merge the two sections or rename one");
-        }
+        const auto [first, isNew] = m_headerLines.emplace(header, m_line);
+        if (!isNew)
+            return report(header, "",
+                          "section appears twice; the first is in line "
+                              + std::to_string(first->second),
+                          "merge the two sections or rename one");
         m_state = State::InSection;
         m_sections.push_back({m_file, header, {}, {{"", m_line}}});
     }
@@ -176,6 +175,7 @@
     const std::string &m_file;
     std::vector<Problem> &m_problems;
     std::vector<RawSection> m_sections;
+    std::map<std::string, int> m_headerLines;
     State m_state = State::BeforeFirst;
     int m_line = 0;
 };
