Platform: Add log and instance list client, and the platform emulator

The daemon and the command-line tool need the client; tests and the demo need a stand-in for the log service.

--- /dev/null
+++ b/packages/emulator/src/httpserver.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "apricotrock/http.h"
+
+#include <asio.hpp>
+
+#include <set>
+
+namespace apricotrock::emulator {
+
+class Connection;
+
+/// One request that waits for its answer. All calls run on the thread of the server's io_context.
+class Exchange
+{
+public:
+    Exchange(std::weak_ptr<Connection> connection, HttpRequest newRequest)
+        : request(std::move(newRequest)), m_connection(std::move(connection))
+    { }
+
+    /// Sends a complete answer; keeps the connection open if the request allows it.
+    void respond(const HttpResponse &response);
+    /// Sends \a bytes as they are; the connection then takes no further requests. It is closed
+    /// behind them if \a closeAfter is set, and otherwise left open.
+    void sendRaw(std::string bytes, bool closeAfter);
+    /// Closes the connection; \a reset sends RST instead of FIN.
+    void abort(bool reset);
+    /// Returns true if the caller has closed the connection.
+    [[nodiscard]] bool isGone() const;
+    /// Calls \a callback when the caller closes the connection before the answer.
+    void onGone(std::function<void()> callback);
+
+    const HttpRequest request;
+
+private:
+    std::weak_ptr<Connection> m_connection;
+};
+
+using ExchangeHandler = std::function<void(std::shared_ptr<Exchange>)>;
+
+/// A small HTTP/1.1 server that can also misbehave on the wire. RESTinio tells neither that a
+/// caller has gone while its request waits, nor lets malformed answers out.
+class HttpServer
+{
+public:
+    HttpServer(asio::io_context &context, const Endpoint &endpoint, ExchangeHandler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// The port that was bound.
+    [[nodiscard]] std::uint16_t port() const { return m_endpoint.port(); }
+    /// Stops listening and resets all connections, as a crashed process does.
+    void crash();
+    /// Listens again after crash().
+    void restart();
+    [[nodiscard]] std::size_t connectionCount() const { return m_connections.size(); }
+
+private:
+    friend class Connection;
+    void listen();
+    void accept();
+
+    asio::io_context &m_context;
+    asio::ip::tcp::endpoint m_endpoint;
+    asio::ip::tcp::acceptor m_acceptor;
+    ExchangeHandler m_handler;
+    std::set<std::shared_ptr<Connection>> m_connections;
+};
+
+/// Returns the status line, the headers and the body of \a response as sent on the wire.
+std::string serialize(const HttpResponse &response, bool keepAlive);
+
+} // namespace apricotrock::emulator
--- a/packages/platform/include/apricotrock/platform.h
+++ b/packages/platform/include/apricotrock/platform.h
@@ -70,6 +70,8 @@
     PlatformResult<ReadAnswer> read(std::string_view stream, std::uint64_t from,
                                     std::size_t maxRecords, std::chrono::milliseconds wait);
     PlatformResult<std::vector<InstanceInfo>> instances();
+    /// Makes the call under way and all later ones fail at once; for any thread.
+    void cancel();
 
 private:
     struct Private;
