Peer: Stop although a timer handler is already queued

Cause: stop() cancels the timers, but a handler whose timer has expired runs all the same; it dialed missing peers and set the timer again, so the thread never ended. Seen once in three runs of stoppedPeerIsForgotten under ThreadSanitizer, which then did not end. Change: the handlers check isStopping. Conclusion: a cancelled Asio timer needs a flag beside the cancellation.

--- a/packages/peer/src/mesh.cpp
+++ b/packages/peer/src/mesh.cpp
@@ -125,6 +125,7 @@
         return;
     asio::post(m_private->context, [this] {
         std::error_code ignored;
+        m_private->isStopping = true;
         m_private->acceptor.close(ignored);
         m_private->roundTimer.cancel();
         m_private->forwardTimer.cancel();
--- a/packages/peer/src/meshprivate.cpp
+++ b/packages/peer/src/meshprivate.cpp
@@ -75,6 +75,8 @@
 
 void Mesh::Private::dialMissing(TimePoint now)
 {
+    if (isStopping)
+        return;
     for (auto entry = links.begin(); entry != links.end();) {
         const auto link = (entry++)->second;
         if (now - link->lastHeard() > silenceLimit()) {
@@ -225,7 +227,7 @@
 {
     roundTimer.expires_after(parameters.heartbeatInterval);
     roundTimer.async_wait([this](std::error_code error) {
-        if (error)
+        if (error || isStopping)
             return;
         runRound(Clock::now());
         scheduleRound();
@@ -259,7 +261,7 @@
 {
     forwardTimer.expires_after(forwardCheckInterval);
     forwardTimer.async_wait([this](std::error_code error) {
-        if (error)
+        if (error || isStopping)
             return;
         failForwards(forwards.takeExpired(Clock::now()));
         scheduleForwardCheck();
--- a/packages/peer/src/meshprivate.h
+++ b/packages/peer/src/meshprivate.h
@@ -66,6 +66,9 @@
     /// Position of the round robin over established links.
     LinkId lastRoundLink = 0;
     Counters liveCounters;
+    /// A timer whose handler is already queued cannot be cancelled; the handlers check this
+    /// instead.
+    bool isStopping = false;
 
     /// Shared with other threads under the mutex.
     mutable std::mutex mutex;
