--- a/packages/routing/src/attempts.cpp
+++ b/packages/routing/src/attempts.cpp
@@ -1,6 +1,11 @@
 #include "attempts.h"
 
+#include "admission.h"
+#include "hedge.h"
+#include "learning.h"
 #include "requests.h"
+#include "retry.h"
+#include "selection.h"
 
 #include <algorithm>
 
@@ -8,57 +13,96 @@
 
 namespace {
 
-ErrorKind failureKind(AttemptStatus status)
+/// Share of the time left that a lookup gives to an attempt that can be followed by another.
+constexpr int deadlineShares = 2;
+/// An attempt gets at least this many typical latencies, as far as the deadline allows.
+constexpr int typicalLatencies = 4;
+constexpr double typicalQuantile = 0.95;
+
+/// Lookups leave time for a second attempt, because an established connection may be dead.
+TimePoint attemptDeadline(const RequestState &request, TimePoint now)
 {
-    switch (status) {
-    case AttemptStatus::Shed:
-        return ErrorKind::BackendShed;
-    case AttemptStatus::ConnectFailed:
-        return ErrorKind::ConnectFailed;
-    case AttemptStatus::ConnectionLost:
-        return ErrorKind::BackendConnectionLost;
-    case AttemptStatus::AnswerInvalid:
-        return ErrorKind::BackendAnswerInvalid;
-    case AttemptStatus::Answered:
-    case AttemptStatus::Timeout:
-    case AttemptStatus::Cancelled:
-        break;
-    }
-    return ErrorKind::BackendTimeout;
+    const TimePoint deadline = request.request.deadline;
+    const bool isLast = request.attempts >= request.service->policy.maxAttempts;
+    if (request.request.requestClass == RequestClass::Action || isLast)
+        return deadline;
+    const Duration typical = request.service->latencies.quantile(typicalQuantile);
+    return std::min(deadline,
+                    now + std::max((deadline - now) / deadlineShares, typical * typicalLatencies));
+}
+
+void release(ServiceState &service, const AttemptState &attempt)
+{
+    --service.running;
+    --attempt.endpoint->outstanding;
+    attempt.endpoint->runsIsolated = false;
 }
 
-void releaseEndpoint(EndpointState &endpoint)
+/// Returns true if the answer is the one that the caller gets, unless a retry is possible.
+bool isFinalAnswer(const RequestState &request, const AttemptResult &result)
 {
-    --endpoint.outstanding;
-    endpoint.runsIsolated = false;
+    return result.status == AttemptStatus::Answered
+        && (request.request.requestClass == RequestClass::Action
+            || !isRetryableStatus(result.httpStatus));
+}
+
+void endAttempt(State &state, RequestId id, const AttemptState &attempt,
+                const AttemptResult &result, TimePoint now, Output &output)
+{
+    RequestState &request = state.requests.at(id);
+    if (isFinalAnswer(request, result)) {
+        if (attempt.isHedge)
+            count(state, Counter::HedgeWon);
+        return completeRequest(state, id, result.attempt, now, output);
+    }
+    if (!request.running.empty())
+        return; // The other attempt of a hedged lookup decides.
+    const RetryVerdict verdict = judgeRetry(state, request, result, now);
+    if (verdict.isAllowed) {
+        // Shows whether this request crashes backend servers, without harm to others beside it.
+        request.request.isIsolated |= result.status == AttemptStatus::ConnectionLost;
+        return enqueue(state, request);
+    }
+    if (result.status == AttemptStatus::Answered)
+        return completeRequest(state, id, result.attempt, now, output);
+    failRequest(state, id, verdict.failure, now, output);
 }
 
 } // namespace
 
 void startAttempt(State &state, RequestState &request, const EndpointPtr &endpoint, TimePoint now,
-                  Output &output)
+                  Output &output, bool isHedge)
 {
     const AttemptId id = state.nextAttempt++;
-    state.attempts[id] = {request.request.id, endpoint, now, false};
-    request.running.push_back(id);
-    ++request.attempts;
+    ServiceState &service = *request.service;
     ++endpoint->outstanding;
+    ++service.running;
+    ++request.attempts;
     endpoint->runsIsolated = request.request.isIsolated;
+    state.attempts[id] = {request.request.id, endpoint, now,
+                          estimatedLoad(*endpoint, service.policy, now), isHedge};
+    request.running.push_back(id);
+    request.tried.push_back(endpoint);
     AttemptStart start;
     start.attempt = id;
     start.request = request.request.id;
     start.backendServer = endpoint->server.name;
     start.address = endpoint->server.address;
-    start.deadline = request.request.deadline;
+    start.deadline = attemptDeadline(request, now);
     start.useNewConnection = request.request.requestClass == RequestClass::Action;
+    start.isHedge = isHedge;
     output.starts.push_back(std::move(start));
+    scheduleHedge(state, request, now);
 }
 
-void cancelAttempts(State &state, RequestState &request, Output &output)
+void cancelAttempts(State &state, RequestState &request, TimePoint now, Output &output)
 {
+    unscheduleHedge(state, request);
     for (const AttemptId id : request.running) {
-        releaseEndpoint(*state.attempts.at(id).endpoint);
+        const AttemptState attempt = state.attempts.at(id);
         state.attempts.erase(id);
+        release(*request.service, attempt);
+        learnCancelled(*request.service, attempt, now);
         output.cancels.push_back(id);
     }
     request.running.clear();
@@ -68,17 +112,17 @@
 {
     const auto found = state.attempts.find(result.attempt);
     if (found == state.attempts.end())
-        return;
+        return; // Cancelled before, or reported twice.
     const AttemptState attempt = found->second;
     state.attempts.erase(found);
-    releaseEndpoint(*attempt.endpoint);
     RequestState &request = state.requests.at(attempt.request);
-    std::erase(request.running, result.attempt);
     const ServicePtr service = request.service;
-    if (result.status == AttemptStatus::Answered)
-        completeRequest(state, attempt.request, result.attempt, output);
-    else
-        failRequest(state, attempt.request, failureKind(result.status), output);
+    release(*service, attempt);
+    std::erase(request.running, result.attempt);
+    unscheduleHedge(state, request);
+    learnResult(state, *service, attempt, result, now, output);
+    learnPace(*service, now);
+    endAttempt(state, attempt.request, attempt, result, now, output);
     dispatch(state, *service, now, output);
 }
 
--- a/packages/routing/src/configuration.cpp
+++ b/packages/routing/src/configuration.cpp
@@ -1,61 +1,138 @@
+#include "leaving.h"
 #include "requests.h"
 
+#include <algorithm>
+
 namespace apricotrock::routing {
 
-void StateDeleter::operator()(State *state) const
+namespace {
+
+using Services = std::map<std::string, ServicePtr>;
+using Endpoints = std::map<std::string, EndpointPtr>;
+
+/// Limits the slow start to backend servers that join others; a new instance knows none.
+bool joinsOthers(const State &state, const std::string &service)
 {
-    delete state;
+    const auto found = state.services.find(service);
+    return found != state.services.end() && !found->second->endpoints.empty();
 }
 
-StatePtr makeState(const InstanceParameters &parameters, TimePoint /*now*/)
+EndpointPtr makeEndpoint(State &state, const BackendServer &server, TimePoint now)
 {
-    StatePtr state(new State);
-    state->parameters = parameters;
-    state->random.seed(parameters.seed);
-    return state;
+    auto endpoint = std::make_shared<EndpointState>();
+    endpoint->server = server;
+    endpoint->limit.value = static_cast<double>(server.slots);
+    endpoint->lastHeard = now;
+    endpoint->probe.budget = makeRateBudget(now);
+    endpoint->probe.spread = 1 + randomFraction(state.random);
+    if (joinsOthers(state, server.service)) {
+        endpoint->activated = now;
+        endpoint->slowStartBegin = now;
+    }
+    return endpoint;
 }
 
-void applyConfiguration(State &state, const Configuration &configuration, TimePoint now,
-                        Output &output)
+/// A changed address or service means another process, of which nothing is known.
+bool isSameProcess(const BackendServer &a, const BackendServer &b)
+{
+    return a.address == b.address && a.service == b.service;
+}
+
+void updateEndpoint(EndpointState &endpoint, const BackendServer &server, TimePoint now)
 {
-    std::unordered_map<std::string, ServicePtr> services;
+    const bool isActivated = endpoint.server.state == BackendServerState::Draining
+        && server.state == BackendServerState::Active;
+    if (isActivated) {
+        endpoint.isLeaving = false;
+        endpoint.activated = now;
+        endpoint.slowStartBegin = now;
+    }
+    if (server.slots != endpoint.server.slots)
+        endpoint.limit.value = static_cast<double>(server.slots);
+    endpoint.server = server;
+}
+
+Services takeServices(State &state, const Configuration &configuration)
+{
+    Services services;
     for (const auto &[name, service] : configuration.services) {
-        ServicePtr &entry = services[name];
         const auto old = state.services.find(name);
-        entry = old == state.services.end() ? std::make_shared<ServiceState>() : old->second;
+        const bool isNew = old == state.services.end();
+        const ServicePtr entry = isNew ? std::make_shared<ServiceState>() : old->second;
         entry->name = name;
         entry->policy = configuration.policies.at(service.policy);
-        entry->endpoints.clear();
+        // A service with little traffic may retry from its first request on.
+        if (isNew && entry->policy.retryBudget > 0)
+            entry->retryBudget.tokens = 1;
+        services[name] = entry;
     }
-    std::unordered_map<std::string, EndpointPtr> endpoints;
+    return services;
+}
+
+Endpoints takeEndpoints(State &state, const Configuration &configuration, TimePoint now)
+{
+    Endpoints endpoints;
     for (const auto &[name, server] : configuration.backendServers) {
-        EndpointPtr &entry = endpoints[name];
         const auto old = state.endpoints.find(name);
-        entry = old == state.endpoints.end() ? std::make_shared<EndpointState>() : old->second;
-        entry->server = server;
-        services.at(server.service)->endpoints.push_back(entry);
+        EndpointPtr &entry = endpoints[name];
+        if (old != state.endpoints.end() && isSameProcess(old->second->server, server)) {
+            entry = old->second;
+            updateEndpoint(*entry, server, now);
+        } else {
+            entry = makeEndpoint(state, server, now);
+        }
     }
-    std::vector<RequestId> orphans;
-    for (const auto &[name, service] : state.services) {
-        if (services.contains(name))
-            continue;
-        for (const QueueEntry &waiting : service->queue.entries)
-            orphans.push_back(waiting.id);
+    for (const auto &[name, endpoint] : state.endpoints) {
+        const auto kept = endpoints.find(name);
+        endpoint->isConfigured = kept != endpoints.end() && kept->second == endpoint;
     }
-    state.services.swap(services);
-    state.endpoints.swap(endpoints);
-    for (const RequestId id : orphans)
-        failRequest(state, id, ErrorKind::UnknownService, output);
-    for (const auto &[name, service] : state.services)
-        dispatch(state, *service, now, output);
+    return endpoints;
+}
+
+/// Lists the backend servers of each service in the order of their names.
+void linkEndpoints(const Configuration &configuration, Services &services,
+                   const Endpoints &endpoints)
+{
+    for (const auto &[name, service] : services)
+        service->endpoints.clear();
+    for (const auto &[name, server] : configuration.backendServers)
+        services.at(server.service)->endpoints.push_back(endpoints.at(name));
+}
+
+} // namespace
+
+void StateDeleter::operator()(State *state) const
+{
+    delete state;
+}
+
+StatePtr makeState(const InstanceParameters &parameters, TimePoint now)
+{
+    StatePtr state(new State);
+    state->parameters = parameters;
+    state->random.seed(parameters.seed);
+    state->nextScan = now;
+    return state;
 }
 
-void markLeaving(State &state, const std::string &backendServer, TimePoint /*now*/,
-                 Output & /*output*/)
+void applyConfiguration(State &state, const Configuration &configuration, TimePoint now,
+                        Output &output)
 {
-    const auto found = state.endpoints.find(backendServer);
-    if (found != state.endpoints.end())
-        found->second->isLeaving = true;
+    Services services = takeServices(state, configuration);
+    Endpoints endpoints = takeEndpoints(state, configuration, now);
+    linkEndpoints(configuration, services, endpoints);
+    state.services.swap(services);
+    state.endpoints.swap(endpoints);
+    for (const auto &[name, service] : services) {
+        if (!state.services.contains(name)) {
+            service->endpoints.clear();
+            failWaiting(state, *service, ErrorKind::UnknownService, now, output);
+        }
+    }
+    for (const auto &[name, service] : state.services) {
+        failIfNoneUsable(state, *service, now, output);
+        dispatch(state, *service, now, output);
+    }
 }
 
 } // namespace apricotrock::routing
--- a/packages/routing/src/counters.cpp
+++ b/packages/routing/src/counters.cpp
@@ -28,17 +28,4 @@
     return names.at(static_cast<std::size_t>(counter));
 }
 
-std::vector<BackendStatus> backendStatus(const State &state, TimePoint /*now*/)
-{
-    std::vector<BackendStatus> status;
-    for (const auto &[name, endpoint] : state.endpoints) {
-        const bool isDraining =
-            endpoint->isLeaving || endpoint->server.state == BackendServerState::Draining;
-        status.push_back({name, endpoint->server.service, isDraining ? "leaving" : "active",
-                          endpoint->outstanding, static_cast<double>(endpoint->outstanding),
-                          static_cast<double>(endpoint->server.slots)});
-    }
-    return status;
-}
-
 } // namespace apricotrock::routing
--- /dev/null
+++ b/packages/routing/src/latency.cpp
@@ -0,0 +1,58 @@
+#include "latency.h"
+
+#include <algorithm>
+
+namespace apricotrock::routing {
+
+namespace {
+
+/// Weight of one attempt in the average service time; about the last ten attempts count.
+constexpr double averageWeight = 0.1;
+
+void learn(ServiceTime &time, Seconds sample)
+{
+    ++time.samples;
+    const double weight = std::max(averageWeight, 1.0 / static_cast<double>(time.samples));
+    time.average += weight * (sample - time.average);
+}
+
+} // namespace
+
+void LatencyWindow::add(Duration latency)
+{
+    m_latencies.at(m_count % capacity) = static_cast<float>(Seconds(latency).count());
+    ++m_count;
+    if (m_count == minimumSamples || m_count % refreshInterval == 0)
+        refresh();
+}
+
+void LatencyWindow::refresh()
+{
+    m_sortedCount = std::min(m_count, capacity);
+    m_sorted = m_latencies;
+    std::sort(m_sorted.begin(), m_sorted.begin() + static_cast<std::ptrdiff_t>(m_sortedCount));
+}
+
+Duration LatencyWindow::quantile(double fraction) const
+{
+    if (!isUsable())
+        return {};
+    const auto last = static_cast<double>(m_sortedCount - 1);
+    const auto index = static_cast<std::size_t>(fraction * last);
+    return toDuration(Seconds(m_sorted.at(index)));
+}
+
+void learnServiceTime(ServiceTime &time, Duration latency, double queuedPerSlot)
+{
+    // A request waits for about as many services as requests per slot are queued before it. The
+    // queue that an answer reports is about as long as the one that the request met.
+    learn(time, Seconds(latency) / (1 + queuedPerSlot));
+}
+
+void learnLowerBound(ServiceTime &time, Duration elapsed)
+{
+    if (Seconds(elapsed) > time.average)
+        learn(time, elapsed);
+}
+
+} // namespace apricotrock::routing
--- /dev/null
+++ b/packages/routing/src/latency.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "numbers.h"
+
+#include <array>
+
+namespace apricotrock::routing {
+
+/// Latencies of the most recent attempts of one service.
+class LatencyWindow
+{
+public:
+    void add(Duration latency);
+    [[nodiscard]] bool isUsable() const { return m_count >= minimumSamples; }
+    /// Returns the quantile \a fraction, or zero while too few latencies are known.
+    [[nodiscard]] Duration quantile(double fraction) const;
+
+private:
+    static constexpr std::size_t capacity = 256;
+    static constexpr std::size_t minimumSamples = 20;
+    /// The sorted copy is refreshed after this many new latencies, to spare the sorting.
+    static constexpr std::size_t refreshInterval = 16;
+
+    void refresh();
+
+    std::array<float, capacity> m_latencies{};
+    std::array<float, capacity> m_sorted{};
+    std::size_t m_count = 0;
+    std::size_t m_sortedCount = 0;
+};
+
+/// Service time of one backend server.
+struct ServiceTime
+{
+    /// Average without the time spent in the backend server's queue; zero if not known.
+    Seconds average{};
+    std::uint64_t samples = 0;
+};
+
+/// Learns from an attempt that took \a latency while \a queued requests per slot waited.
+void learnServiceTime(ServiceTime &time, Duration latency, double queuedPerSlot);
+/// Learns from an attempt that was cancelled after \a elapsed: the service time is at least that.
+void learnLowerBound(ServiceTime &time, Duration elapsed);
+
+} // namespace apricotrock::routing
--- /dev/null
+++ b/packages/routing/src/learning.cpp
@@ -0,0 +1,75 @@
+#include "learning.h"
+
+#include <algorithm>
+
+namespace apricotrock::routing {
+
+namespace {
+
+constexpr double shedWeight = 1.0 / 16;
+
+bool isFailure(const AttemptResult &result)
+{
+    // A refusal is a sign of load, not of a fault.
+    if (result.status == AttemptStatus::Shed || result.status == AttemptStatus::Cancelled)
+        return false;
+    return result.status != AttemptStatus::Answered || result.httpStatus >= 500;
+}
+
+void learnAnswer(State &state, ServiceState &service, const AttemptState &attempt,
+                 const AttemptResult &result, Duration latency, TimePoint now)
+{
+    EndpointState &endpoint = *attempt.endpoint;
+    const double queued = result.load ? result.load->queued : 0;
+    learnServiceTime(endpoint.serviceTime, latency,
+                     queued / static_cast<double>(endpoint.server.slots));
+    learnLatency(endpoint.limit, latency, attempt.concurrency, endpoint.server.slots);
+    learnSuccess(endpoint);
+    service.latencies.add(latency);
+    if (service.policy.algorithm == PolicyAlgorithm::Adaptive)
+        ejectStraggler(state, service, endpoint, now);
+}
+
+} // namespace
+
+void learnResult(State &state, ServiceState &service, const AttemptState &attempt,
+                 const AttemptResult &result, TimePoint now, Output &output)
+{
+    EndpointState &endpoint = *attempt.endpoint;
+    const bool isShed = result.status == AttemptStatus::Shed;
+    service.shedShare += shedWeight * ((isShed ? 1 : 0) - service.shedShare);
+    if (result.load) {
+        learnLoad(endpoint, *result.load, now);
+        endpoint.load.report = *result.load;
+        endpoint.load.reported = now;
+        endpoint.load.hasReport = true;
+    }
+    if (isShed) {
+        learnShed(endpoint, now);
+        learnRefusal(endpoint.limit);
+    }
+    if (result.status == AttemptStatus::Answered || isShed)
+        endpoint.lastHeard = now;
+    const Duration latency =
+        result.latency > Duration::zero() ? result.latency : now - attempt.start;
+    if (isFailure(result))
+        learnFailure(state, service, endpoint, now);
+    else if (result.status == AttemptStatus::Answered)
+        learnAnswer(state, service, attempt, result, latency, now);
+    if (result.isDraining && attempt.start >= endpoint.activated && !endpoint.isLeaving) {
+        count(state, Counter::DrainSeen);
+        if (endpoint.isConfigured)
+            markLeaving(state, endpoint.server.name, now, output);
+    }
+}
+
+void learnCancelled(ServiceState &service, const AttemptState &attempt, TimePoint now)
+{
+    const Duration elapsed = now - attempt.start;
+    learnLowerBound(attempt.endpoint->serviceTime, elapsed);
+    // Without this, hedged slow attempts would be missing and the hedge delay would shrink.
+    if (elapsed > service.latencies.quantile(0.5))
+        service.latencies.add(elapsed);
+}
+
+} // namespace apricotrock::routing
--- /dev/null
+++ b/packages/routing/src/outlier.cpp
@@ -0,0 +1,103 @@
+#include "outlier.h"
+
+#include "state.h"
+
+#include <algorithm>
+
+namespace apricotrock::routing {
+
+namespace {
+
+constexpr double failureWeight = 0.1;
+/// A backend server that is slower than the median of the others by this factor is a straggler.
+/// Below that, the load estimate gives it less work, which uses its capacity better.
+constexpr double stragglerRatio = 3;
+constexpr std::uint64_t stragglerSamples = 5;
+constexpr std::uint64_t longestEjectionFactor = 16;
+
+bool isCapReached(const ServiceState &service)
+{
+    const auto ejected = std::count_if(service.endpoints.begin(), service.endpoints.end(),
+                                       [](const EndpointPtr &e) { return e->outlier.isEjected; });
+    const double allowed =
+        service.policy.maxEjected * static_cast<double>(service.endpoints.size());
+    return static_cast<double>(ejected + 1) > allowed;
+}
+
+void eject(State &state, ServiceState &service, EndpointState &endpoint, TimePoint now)
+{
+    OutlierState &outlier = endpoint.outlier;
+    if (outlier.isEjected || !endpoint.isConfigured)
+        return;
+    if (isCapReached(service)) {
+        count(state, Counter::EjectionDeniedByCap);
+        return;
+    }
+    const Duration longest = service.policy.ejectionTime * longestEjectionFactor;
+    if (outlier.ejections > 0 && now - outlier.returned > longest)
+        outlier.ejections = 0;
+    const std::uint64_t factor = std::min(
+        std::uint64_t{1} << std::min<std::uint64_t>(outlier.ejections, 10), longestEjectionFactor);
+    outlier.isEjected = true;
+    outlier.until = now + service.policy.ejectionTime * factor;
+    ++outlier.ejections;
+    count(state, Counter::EndpointEjected);
+}
+
+/// Returns the median service time of the other backend servers, or zero if too few are known.
+Seconds medianOfOthers(const ServiceState &service, const EndpointState &endpoint)
+{
+    std::vector<Seconds> times;
+    for (const EndpointPtr &other : service.endpoints) {
+        if (other.get() != &endpoint && other->serviceTime.samples >= stragglerSamples)
+            times.push_back(other->serviceTime.average);
+    }
+    if (times.size() < 2)
+        return {};
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    return *middle;
+}
+
+} // namespace
+
+void learnSuccess(EndpointState &endpoint)
+{
+    OutlierState &outlier = endpoint.outlier;
+    outlier.failuresInRow = 0;
+    outlier.failureShare -= failureWeight * outlier.failureShare;
+    ++outlier.attempts;
+}
+
+void learnFailure(State &state, ServiceState &service, EndpointState &endpoint, TimePoint now)
+{
+    OutlierState &outlier = endpoint.outlier;
+    ++outlier.failuresInRow;
+    outlier.failureShare += failureWeight * (1 - outlier.failureShare);
+    ++outlier.attempts;
+    if (outlier.failuresInRow >= service.policy.ejectionFailures)
+        eject(state, service, endpoint, now);
+}
+
+void ejectStraggler(State &state, ServiceState &service, EndpointState &endpoint, TimePoint now)
+{
+    if (endpoint.outlier.isEjected || endpoint.outlier.attempts < stragglerSamples)
+        return;
+    const Seconds median = medianOfOthers(service, endpoint);
+    if (median > Seconds::zero() && endpoint.serviceTime.average > stragglerRatio * median)
+        eject(state, service, endpoint, now);
+}
+
+void returnEndpoint(State &state, EndpointState &endpoint, TimePoint now)
+{
+    OutlierState &outlier = endpoint.outlier;
+    outlier.isEjected = false;
+    outlier.returned = now;
+    outlier.attempts = 0;
+    if (outlier.failuresInRow > 0)
+        --outlier.failuresInRow;
+    endpoint.slowStartBegin = now;
+    count(state, Counter::EndpointReturned);
+}
+
+} // namespace apricotrock::routing
--- /dev/null
+++ b/packages/routing/src/outlier.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "apricotrock/routing.h"
+
+namespace apricotrock::routing {
+
+struct EndpointState;
+struct ServiceState;
+
+/// Failures and ejections of one backend server.
+struct OutlierState
+{
+    /// Failures since the last success.
+    std::uint64_t failuresInRow = 0;
+    /// Share of about the last ten attempts that failed.
+    double failureShare = 0;
+    bool isEjected = false;
+    TimePoint until;
+    /// Ejections without a long healthy time between them; sets the length of the next one.
+    std::uint64_t ejections = 0;
+    TimePoint returned;
+    /// Attempts since the backend server joined or returned.
+    std::uint64_t attempts = 0;
+};
+
+void learnSuccess(EndpointState &endpoint);
+/// Counts a failure and ejects the backend server if it is one too many.
+void learnFailure(State &state, ServiceState &service, EndpointState &endpoint, TimePoint now);
+/// Ejects the backend server if it is much slower than the others of its service.
+void ejectStraggler(State &state, ServiceState &service, EndpointState &endpoint, TimePoint now);
+/// Ends an ejection; the backend server starts slowly and is ejected again at its first failure.
+void returnEndpoint(State &state, EndpointState &endpoint, TimePoint now);
+
+} // namespace apricotrock::routing
--- a/packages/routing/src/requests.cpp
+++ b/packages/routing/src/requests.cpp
@@ -1,13 +1,86 @@
 #include "requests.h"
 
+#include "admission.h"
 #include "attempts.h"
 #include "selection.h"
 
+#include <algorithm>
+
 namespace apricotrock::routing {
 
+namespace {
+
+/// Isolated requests at the front of the queue that may be passed by others while they wait for an
+/// empty backend server.
+constexpr std::size_t passedIsolated = 8;
+/// Interval at which waiting requests are tried again because load estimates have aged.
+constexpr Duration recheckInterval = std::chrono::milliseconds(1);
+
+void endRequest(State &state, RequestId id, TimePoint now, Output &output)
+{
+    const auto found = state.requests.find(id);
+    dequeue(state, found->second);
+    releaseReservation(found->second);
+    cancelAttempts(state, found->second, now, output);
+    state.requests.erase(found);
+}
+
+/// Starts the first waiting request that finds room, or drops one that is too late. Returns false
+/// if nothing was done.
+bool dispatchOne(State &state, ServiceState &service, TimePoint now, Output &output)
+{
+    for (const RequestId id : nextWaiting(service.queue, service.policy, passedIsolated)) {
+        RequestState &request = state.requests.at(id);
+        if (isHopeless(service, request.request, now)) {
+            failRequest(state, id, ErrorKind::DeadlineUnmeetable, now, output);
+            return true;
+        }
+        if (const EndpointPtr endpoint = chooseEndpoint(state, request, now)) {
+            dequeue(state, request);
+            releaseReservation(request);
+            noteTaken(service.queue, request.request.caller);
+            startAttempt(state, request, endpoint, now, output);
+            return true;
+        }
+        if (!request.request.isIsolated)
+            return false;
+        reserveEndpoint(request);
+    }
+    return false;
+}
+
+/// Refuses a request before it waits, or makes room for it.
+std::optional<ErrorKind> admit(State &state, ServiceState &service, const Request &request,
+                               TimePoint now, Output &output)
+{
+    if (!canMeetDeadline(service, request, now))
+        return ErrorKind::DeadlineUnmeetable;
+    const QueueVerdict verdict = judgeQueueing(service.queue, service.policy, request);
+    if (!verdict.refusal && verdict.evicted != 0)
+        failRequest(state, verdict.evicted, verdict.evictedKind, now, output);
+    return verdict.refusal;
+}
+
+/// Starts a new request at once if nobody waits before it.
+bool startAtOnce(State &state, ServiceState &service, RequestState &request, TimePoint now,
+                 Output &output)
+{
+    const bool isAction = request.request.requestClass == RequestClass::Action;
+    const std::size_t ahead = isAction ? service.queue.actions : service.queue.entries.size();
+    if (ahead > 0 || isHopeless(service, request.request, now))
+        return false;
+    const EndpointPtr endpoint = chooseEndpoint(state, request, now);
+    if (!endpoint)
+        return false;
+    startAttempt(state, request, endpoint, now, output);
+    return true;
+}
+
+} // namespace
+
 void enqueue(State &state, RequestState &request)
 {
-    request.service->queue.entries.insert(queueEntry(request.request));
+    push(request.service->queue, request.request);
     state.deadlines.emplace(request.request.deadline, request.request.id);
     request.isWaiting = true;
 }
@@ -16,65 +89,63 @@
 {
     if (!request.isWaiting)
         return;
-    request.service->queue.entries.erase(queueEntry(request.request));
+    remove(request.service->queue, request.request);
     state.deadlines.erase({request.request.deadline, request.request.id});
     request.isWaiting = false;
 }
 
-static void endRequest(State &state, RequestId id, Output &output)
-{
-    const auto found = state.requests.find(id);
-    dequeue(state, found->second);
-    cancelAttempts(state, found->second, output);
-    state.requests.erase(found);
-}
-
-void failRequest(State &state, RequestId request, ErrorKind kind, Output &output)
+void failRequest(State &state, RequestId request, ErrorKind kind, TimePoint now, Output &output)
 {
-    endRequest(state, request, output);
+    endRequest(state, request, now, output);
     output.failures.push_back({request, kind});
 }
 
-void completeRequest(State &state, RequestId request, AttemptId attempt, Output &output)
+void completeRequest(State &state, RequestId request, AttemptId attempt, TimePoint now,
+                     Output &output)
 {
-    endRequest(state, request, output);
+    endRequest(state, request, now, output);
     output.completions.emplace_back(request, attempt);
 }
 
 void dispatch(State &state, ServiceState &service, TimePoint now, Output &output)
 {
-    while (!service.queue.entries.empty()) {
-        RequestState &request = state.requests.at(service.queue.entries.begin()->id);
-        const EndpointPtr endpoint = chooseEndpoint(state, request, now);
-        if (!endpoint)
-            return;
-        dequeue(state, request);
-        startAttempt(state, request, endpoint, now, output);
-    }
+    while (dispatchOne(state, service, now, output)) { }
+    if (!service.queue.entries.empty())
+        state.recheck = std::min(state.recheck, now + recheckInterval);
+}
+
+void failWaiting(State &state, ServiceState &service, ErrorKind kind, TimePoint now, Output &output)
+{
+    while (!service.queue.entries.empty())
+        failRequest(state, service.queue.entries.begin()->first.id, kind, now, output);
 }
 
 void submitRequest(State &state, const Request &request, TimePoint now, Output &output)
 {
-    const auto service = state.services.find(request.service);
-    if (service == state.services.end()) {
-        output.failures.push_back({request.id, ErrorKind::UnknownService});
-        return;
-    }
-    if (request.deadline <= now) {
-        output.failures.push_back({request.id, ErrorKind::DeadlineExpired});
-        return;
-    }
-    RequestState fresh{request, service->second, {}, 0, false};
-    ServiceState &target = *service->second;
-    if (target.endpoints.empty()) {
-        output.failures.push_back({request.id, ErrorKind::NoBackendServer});
+    const auto refuse = [&](ErrorKind kind) { output.failures.push_back({request.id, kind}); };
+    const auto found = state.services.find(request.service);
+    if (found == state.services.end())
+        return refuse(ErrorKind::UnknownService);
+    if (request.deadline <= now)
+        return refuse(ErrorKind::DeadlineExpired);
+    ServiceState &service = *found->second;
+    if (!hasUsableEndpoint(service))
+        return refuse(ErrorKind::NoBackendServer);
+    deposit(service.retryBudget, service.policy.retryBudget);
+    if (request.requestClass == RequestClass::Lookup)
+        deposit(service.hedgeBudget, service.policy.hedgeBudget);
+    RequestState fresh;
+    fresh.request = request;
+    fresh.service = found->second;
+    RequestState &stored = state.requests.emplace(request.id, std::move(fresh)).first->second;
+    if (startAtOnce(state, service, stored, now, output))
         return;
+    if (const auto refusal = admit(state, service, request, now, output)) {
+        state.requests.erase(request.id);
+        return refuse(*refusal);
     }
-    RequestState &stored = state.requests.emplace(request.id, std::move(fresh)).first->second;
-    enqueue(state, stored);
-    dispatch(state, target, now, output);
-    if (target.queue.entries.size() > target.policy.queueLimit)
-        failRequest(state, target.queue.entries.rbegin()->id, ErrorKind::QueueFull, output);
+    enqueue(state, state.requests.at(request.id));
+    dispatch(state, service, now, output);
 }
 
 bool cancelRequest(State &state, RequestId request, TimePoint now, Output &output)
@@ -84,7 +155,7 @@
         return false;
     const bool isUnstarted = found->second.attempts == 0;
     const ServicePtr service = found->second.service;
-    endRequest(state, request, output);
+    endRequest(state, request, now, output);
     dispatch(state, *service, now, output);
     return isUnstarted;
 }
--- /dev/null
+++ b/packages/routing/src/retry.cpp
@@ -0,0 +1,91 @@
+#include "retry.h"
+
+#include "selection.h"
+
+namespace apricotrock::routing {
+
+namespace {
+
+/// Share of shed attempts above which the whole fleet is taken to shed: a retry would then only
+/// take the place of a first attempt.
+constexpr double fleetSheds = 0.25;
+
+/// Returns the failure kind of an attempt status.
+ErrorKind failureKind(AttemptStatus status)
+{
+    switch (status) {
+    case AttemptStatus::Shed:
+        return ErrorKind::BackendShed;
+    case AttemptStatus::ConnectFailed:
+        return ErrorKind::ConnectFailed;
+    case AttemptStatus::Answered:
+    case AttemptStatus::AnswerInvalid:
+        return ErrorKind::BackendAnswerInvalid;
+    case AttemptStatus::ConnectionLost:
+    case AttemptStatus::Cancelled:
+        return ErrorKind::BackendConnectionLost;
+    case AttemptStatus::Timeout:
+        break;
+    }
+    return ErrorKind::BackendTimeout;
+}
+
+Counter retryCounter(AttemptStatus status)
+{
+    switch (status) {
+    case AttemptStatus::Shed:
+        return Counter::RetryAfterShed;
+    case AttemptStatus::ConnectFailed:
+        return Counter::RetryAfterConnectFailed;
+    case AttemptStatus::Answered:
+    case AttemptStatus::AnswerInvalid:
+        return Counter::RetryAfterInvalidAnswer;
+    case AttemptStatus::ConnectionLost:
+    case AttemptStatus::Cancelled:
+        return Counter::RetryAfterConnectionLost;
+    case AttemptStatus::Timeout:
+        break;
+    }
+    return Counter::RetryAfterTimeout;
+}
+
+/// These prove that the request did not run.
+bool isProvenNotRun(AttemptStatus status)
+{
+    return status == AttemptStatus::ConnectFailed || status == AttemptStatus::Shed;
+}
+
+bool mayRepeat(const RequestState &request, AttemptStatus status, TimePoint now)
+{
+    const bool isLookup = request.request.requestClass == RequestClass::Lookup;
+    return (isLookup || isProvenNotRun(status)) && request.request.deadline > now
+        && request.attempts < request.service->policy.maxAttempts
+        && hasUsableEndpoint(*request.service);
+}
+
+} // namespace
+
+bool isRetryableStatus(int httpStatus)
+{
+    return httpStatus >= 502 && httpStatus <= 504;
+}
+
+RetryVerdict judgeRetry(State &state, const RequestState &request, const AttemptResult &result,
+                        TimePoint now)
+{
+    ServiceState &service = *request.service;
+    RetryVerdict verdict{false, failureKind(result.status)};
+    if (!mayRepeat(request, result.status, now) || service.shedShare > fleetSheds)
+        return verdict;
+    if (!withdraw(service.retryBudget)) {
+        count(state, Counter::RetryDeniedByBudget);
+        if (isProvenNotRun(result.status))
+            verdict.failure = ErrorKind::RetryBudgetExhausted;
+        return verdict;
+    }
+    count(state, retryCounter(result.status));
+    verdict.isAllowed = true;
+    return verdict;
+}
+
+} // namespace apricotrock::routing
--- a/packages/routing/src/selection.cpp
+++ b/packages/routing/src/selection.cpp
@@ -1,33 +1,251 @@
 #include "selection.h"
 
+#include <algorithm>
+
 namespace apricotrock::routing {
 
 namespace {
 
-bool isUsable(const EndpointState &endpoint)
+/// Services with more backend servers are sampled, so that the cost of a choice is bounded.
+constexpr std::size_t scanLimit = 32;
+/// Share of the work that a backend server gets at the begin of its slow start.
+constexpr double slowStartFloor = 0.1;
+
+using Candidates = std::vector<const EndpointPtr *>;
+
+bool isAdaptive(const Policy &policy)
+{
+    return policy.algorithm == PolicyAlgorithm::Adaptive;
+}
+
+double slowStartWeight(const EndpointState &endpoint, const Policy &policy, TimePoint now)
+{
+    const Duration age = now - endpoint.slowStartBegin;
+    if (endpoint.slowStartBegin == TimePoint() || age >= policy.slowStart)
+        return 1;
+    return std::max(slowStartFloor, Seconds(age) / Seconds(policy.slowStart));
+}
+
+bool hasLoadRoom(const State &state, const Policy &policy, const EndpointState &endpoint,
+                 TimePoint now)
+{
+    if (endpoint.outstanding >= static_cast<std::uint64_t>(endpoint.limit.value))
+        return false;
+    const double gate = state.tuning.loadGate * endpoint.limit.value;
+    return estimatedLoad(endpoint, policy, now) < gate;
+}
+
+bool hasRoom(const State &state, const RequestState &request, const EndpointState &endpoint,
+             TimePoint now)
+{
+    const RequestId id = request.request.id;
+    if (endpoint.runsIsolated || (endpoint.reservedFor != 0 && endpoint.reservedFor != id))
+        return false;
+    if (request.request.isIsolated && endpoint.outstanding > 0)
+        return false;
+    if (endpoint.outstanding >= connectionShare(state, endpoint))
+        return false;
+    const Policy &policy = request.service->policy;
+    return !isAdaptive(policy) || hasLoadRoom(state, policy, endpoint, now);
+}
+
+bool runsOn(const State &state, const RequestState &request, const EndpointPtr &endpoint)
+{
+    return std::any_of(request.running.begin(), request.running.end(),
+                       [&](AttemptId id) { return state.attempts.at(id).endpoint == endpoint; });
+}
+
+bool hasTried(const RequestState &request, const EndpointPtr &endpoint)
+{
+    return std::find(request.tried.begin(), request.tried.end(), endpoint) != request.tried.end();
+}
+
+void addIfRoom(State &state, const RequestState &request, const EndpointPtr &endpoint,
+               bool withEjected, TimePoint now)
+{
+    if (!isUsable(*endpoint) || (endpoint->outlier.isEjected && !withEjected))
+        return;
+    if (runsOn(state, request, endpoint) || !hasRoom(state, request, *endpoint, now))
+        return;
+    state.candidates.push_back(&endpoint);
+}
+
+/// Ejected backend servers are used only if no other may get work; full ones are waited for.
+bool needsEjected(const ServiceState &service)
+{
+    return std::none_of(service.endpoints.begin(), service.endpoints.end(),
+                        [](const EndpointPtr &e) { return isUsable(*e) && !e->outlier.isEjected; });
+}
+
+void collectCandidates(State &state, const RequestState &request, TimePoint now)
+{
+    const auto &endpoints = request.service->endpoints;
+    state.candidates.clear();
+    if (endpoints.size() > scanLimit) {
+        for (std::size_t i = 0; i < scanLimit; ++i) {
+            const std::size_t index = randomIndex(state.random, endpoints.size());
+            addIfRoom(state, request, endpoints[index], false, now);
+        }
+    }
+    if (!state.candidates.empty())
+        return;
+    const bool withEjected = needsEjected(*request.service);
+    for (const EndpointPtr &endpoint : endpoints)
+        addIfRoom(state, request, endpoint, withEjected, now);
+}
+
+/// Keeps only the candidates that \a condition accepts, if there are any.
+template <typename Condition>
+void prefer(Candidates &candidates, const Condition &condition)
+{
+    const auto end = std::partition(candidates.begin(), candidates.end(), condition);
+    if (end != candidates.begin())
+        candidates.erase(end, candidates.end());
+}
+
+/// Keeps the candidates of the own availability zone while one has load to spare. The threshold is
+/// below full load, because the estimates are late.
+void preferZone(State &state, const Policy &policy, TimePoint now)
 {
-    return endpoint.server.state == BackendServerState::Active && !endpoint.isLeaving;
+    const std::string &zone = state.parameters.availabilityZone;
+    prefer(state.candidates, [&](const EndpointPtr *e) {
+        const auto &endpoint = **e;
+        const double spare = policy.zoneSpill * static_cast<double>(endpoint.server.slots);
+        return endpoint.server.availabilityZone == zone
+            && estimatedLoad(endpoint, policy, now) < spare;
+    });
 }
 
-bool hasRoom(const EndpointState &endpoint, const Request &request)
+/// Removes one candidate at random, in proportion to its slow start weight, and returns it.
+const EndpointPtr *drawCandidate(State &state, const Policy &policy, TimePoint now)
 {
-    if (request.isIsolated)
-        return endpoint.outstanding == 0;
-    return endpoint.outstanding < endpoint.server.slots && !endpoint.runsIsolated;
+    Candidates &candidates = state.candidates;
+    double total = 0;
+    for (const EndpointPtr *endpoint : candidates)
+        total += slowStartWeight(**endpoint, policy, now);
+    double rest = randomFraction(state.random) * total;
+    std::size_t index = 0;
+    for (; index + 1 < candidates.size(); ++index) {
+        rest -= slowStartWeight(**candidates[index], policy, now);
+        if (rest < 0)
+            break;
+    }
+    std::swap(candidates[index], candidates.back());
+    const EndpointPtr *drawn = candidates.back();
+    candidates.pop_back();
+    return drawn;
+}
+
+EndpointPtr chooseAdaptive(State &state, const RequestState &request, TimePoint now)
+{
+    const Policy &policy = request.service->policy;
+    preferZone(state, policy, now);
+    const EndpointPtr *best = nullptr;
+    Seconds bestScore{};
+    for (std::size_t i = 0; i < state.tuning.draws && !state.candidates.empty(); ++i) {
+        const EndpointPtr *drawn = drawCandidate(state, policy, now);
+        const Seconds score = state.tuning.score(**drawn, policy, now);
+        if (best == nullptr || score < bestScore) {
+            best = drawn;
+            bestScore = score;
+        }
+    }
+    return *best;
+}
+
+EndpointPtr chooseP2c(State &state)
+{
+    Candidates &candidates = state.candidates;
+    const std::size_t first = randomIndex(state.random, candidates.size());
+    if (candidates.size() == 1)
+        return *candidates[first];
+    std::size_t second = randomIndex(state.random, candidates.size() - 1);
+    if (second >= first)
+        ++second;
+    const bool isSecondBetter =
+        (*candidates[second])->outstanding < (*candidates[first])->outstanding;
+    return *candidates[isSecondBetter ? second : first];
+}
+
+EndpointPtr chooseLeastOutstanding(State &state)
+{
+    Candidates &candidates = state.candidates;
+    // Starts at a random place, so that ties don't favour the first backend server.
+    const std::size_t offset = randomIndex(state.random, candidates.size());
+    std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(offset),
+                candidates.end());
+    return **std::min_element(candidates.begin(), candidates.end(),
+                              [](const EndpointPtr *a, const EndpointPtr *b) {
+                                  return (*a)->outstanding < (*b)->outstanding;
+                              });
+}
+
+EndpointPtr chooseRoundRobin(State &state, ServiceState &service)
+{
+    return *state.candidates[service.nextRoundRobin++ % state.candidates.size()];
 }
 
 } // namespace
 
-EndpointPtr chooseEndpoint(State & /*state*/, const RequestState &request, TimePoint /*now*/)
+bool isUsable(const EndpointState &endpoint)
 {
-    EndpointPtr best;
+    return endpoint.isConfigured && !endpoint.isLeaving
+        && endpoint.server.state == BackendServerState::Active;
+}
+
+bool hasUsableEndpoint(const ServiceState &service)
+{
+    return std::any_of(service.endpoints.begin(), service.endpoints.end(),
+                       [](const EndpointPtr &endpoint) { return isUsable(*endpoint); });
+}
+
+std::uint64_t connectionShare(const State &state, const EndpointState &endpoint)
+{
+    const std::uint64_t instances = std::max<std::uint64_t>(1, state.parameters.maxInstances);
+    return std::max<std::uint64_t>(1, endpoint.server.connections / instances);
+}
+
+EndpointPtr chooseEndpoint(State &state, const RequestState &request, TimePoint now)
+{
+    collectCandidates(state, request, now);
+    if (state.candidates.empty())
+        return nullptr;
+    prefer(state.candidates, [&](const EndpointPtr *e) { return !hasTried(request, *e); });
+    switch (request.service->policy.algorithm) {
+    case PolicyAlgorithm::Adaptive:
+        break;
+    case PolicyAlgorithm::P2c:
+        return chooseP2c(state);
+    case PolicyAlgorithm::LeastOutstanding:
+        return chooseLeastOutstanding(state);
+    case PolicyAlgorithm::RoundRobin:
+        return chooseRoundRobin(state, *request.service);
+    case PolicyAlgorithm::Random:
+        return *state.candidates[randomIndex(state.random, state.candidates.size())];
+    }
+    return chooseAdaptive(state, request, now);
+}
+
+void reserveEndpoint(RequestState &request)
+{
+    if (request.reserved && isUsable(*request.reserved) && !request.reserved->outlier.isEjected)
+        return;
+    releaseReservation(request);
     for (const EndpointPtr &endpoint : request.service->endpoints) {
-        if (!isUsable(*endpoint) || !hasRoom(*endpoint, request.request))
+        if (!isUsable(*endpoint) || endpoint->outlier.isEjected || endpoint->reservedFor != 0)
             continue;
-        if (!best || endpoint->outstanding < best->outstanding)
-            best = endpoint;
+        if (!request.reserved || endpoint->outstanding < request.reserved->outstanding)
+            request.reserved = endpoint;
     }
-    return best;
+    if (request.reserved)
+        request.reserved->reservedFor = request.request.id;
+}
+
+void releaseReservation(RequestState &request)
+{
+    if (request.reserved)
+        request.reserved->reservedFor = 0;
+    request.reserved.reset();
 }
 
 } // namespace apricotrock::routing
--- a/packages/routing/src/state.h
+++ b/packages/routing/src/state.h
@@ -1,24 +1,58 @@
 #pragma once
 
 #include "apricotrock/routing.h"
+#include "budget.h"
+#include "estimate.h"
+#include "latency.h"
+#include "limit.h"
+#include "outlier.h"
 #include "queue.h"
 
 #include <array>
 
 namespace apricotrock::routing {
 
+/// Probes of one backend server by this instance.
+struct ProbeState
+{
+    RateBudget budget;
+    /// A probe runs until its result or this time.
+    TimePoint runningUntil;
+    /// Set once a refusal was counted, until a probe is sent or fresh information comes.
+    bool isDenied = false;
+    /// Factor of the age at which information is stale; differs between instances, so that they
+    /// don't probe together when the load ends.
+    double spread = 1;
+};
+
 /// What one instance knows about one backend server.
 struct EndpointState
 {
     BackendServer server;
     /// Attempts of this instance in flight.
     std::uint64_t outstanding = 0;
-    /// Set until the configuration removes and adds the backend server again.
+    /// Set until the configuration changes the state of the backend server.
     bool isLeaving = false;
     /// False after the configuration dropped the backend server; attempts in flight still refer to
     /// this state.
     bool isConfigured = true;
     bool runsIsolated = false;
+    /// Isolated request for which the backend server becomes empty; 0 for none.
+    RequestId reservedFor = 0;
+    /// Time of the first leaving signal.
+    TimePoint leavingSince;
+    /// Time at which a change of the configuration made the backend server active; the epoch if it
+    /// was active from the start. Signals from before are about its former state.
+    TimePoint activated;
+    /// Begin of the slow start; the epoch for a backend server that had none.
+    TimePoint slowStartBegin;
+    /// Last sign of life.
+    TimePoint lastHeard;
+    LoadKnowledge load;
+    ServiceTime serviceTime;
+    ConcurrencyLimit limit;
+    OutlierState outlier;
+    ProbeState probe;
 };
 
 using EndpointPtr = std::shared_ptr<EndpointState>;
@@ -29,6 +63,18 @@
     Policy policy;
     std::vector<EndpointPtr> endpoints;
     WaitingQueue queue;
+    LatencyWindow latencies;
+    ShareBudget retryBudget;
+    ShareBudget hedgeBudget;
+    /// Share of about the last 16 attempts that were shed.
+    double shedShare = 0;
+    /// Attempts of all requests in flight.
+    std::uint64_t running = 0;
+    /// Average time between two ends of attempts while requests wait.
+    Seconds drainInterval{};
+    /// Last end of an attempt, if requests have waited since then.
+    std::optional<TimePoint> lastDrain;
+    std::size_t nextRoundRobin = 0;
 };
 
 using ServicePtr = std::shared_ptr<ServiceState>;
@@ -38,8 +84,12 @@
     Request request;
     ServicePtr service;
     std::vector<AttemptId> running;
+    /// Backend servers that had an attempt; at most Policy::maxAttempts.
+    std::vector<EndpointPtr> tried;
     std::uint64_t attempts = 0;
     bool isWaiting = false;
+    std::optional<TimePoint> hedgeAt;
+    EndpointPtr reserved;
 };
 
 struct AttemptState
@@ -47,21 +97,51 @@
     RequestId request = 0;
     EndpointPtr endpoint;
     TimePoint start;
+    /// Requests expected on the backend server at the start, this one included.
+    double concurrency = 1;
     bool isHedge = false;
 };
 
+/// Rates a backend server for one more request; lower is better.
+using ScoreFunction = Seconds (*)(const EndpointState &, const Policy &, TimePoint);
+
+/// Constants of the adaptive algorithm that bench/estimatebench.cpp compares.
+struct Tuning
+{
+    ScoreFunction score = expectedLatency;
+    /// Candidates drawn for one choice.
+    std::size_t draws = 3;
+    /// Estimated load per slot up to which requests are sent; above, they wait in the instance.
+    double loadGate = 2;
+};
+
 struct State
 {
     InstanceParameters parameters;
+    Tuning tuning;
     std::mt19937_64 random;
-    std::unordered_map<std::string, ServicePtr> services;
-    std::unordered_map<std::string, EndpointPtr> endpoints;
+    /// Ordered, so that a replayed trace visits them in the same order.
+    std::map<std::string, ServicePtr> services;
+    std::map<std::string, EndpointPtr> endpoints;
     std::unordered_map<RequestId, RequestState> requests;
     std::unordered_map<AttemptId, AttemptState> attempts;
     /// Deadlines of the waiting requests.
     std::set<std::pair<TimePoint, RequestId>> deadlines;
+    /// Times at which running lookups are hedged.
+    std::set<std::pair<TimePoint, RequestId>> hedges;
+    /// Time of the next look at probes and ejections.
+    TimePoint nextScan;
+    /// Time at which waiting requests are tried again because estimates have aged.
+    TimePoint recheck = TimePoint::max();
     AttemptId nextAttempt = 1;
     std::array<std::uint64_t, static_cast<std::size_t>(Counter::Count)> counters{};
+    /// Candidates of one choice; kept to spare allocations.
+    std::vector<const EndpointPtr *> candidates;
 };
 
+inline void count(State &state, Counter counter)
+{
+    ++state.counters.at(static_cast<std::size_t>(counter));
+}
+
 } // namespace apricotrock::routing
--- a/packages/routing/src/time.cpp
+++ b/packages/routing/src/time.cpp
@@ -1,29 +1,67 @@
+#include "hedge.h"
+#include "probes.h"
 #include "requests.h"
 
+#include <algorithm>
+
 namespace apricotrock::routing {
 
-void advanceTime(State &state, TimePoint now, Output &output)
+namespace {
+
+void expireWaiting(State &state, TimePoint now, Output &output)
 {
     while (!state.deadlines.empty() && state.deadlines.begin()->first <= now)
-        failRequest(state, state.deadlines.begin()->second, ErrorKind::DeadlineExpired, output);
+        failRequest(state, state.deadlines.begin()->second, ErrorKind::DeadlineExpired, now,
+                    output);
 }
 
-TimePoint nextDeadline(const State &state)
+void recheckWaiting(State &state, TimePoint now, Output &output)
 {
-    return state.deadlines.empty() ? TimePoint::max() : state.deadlines.begin()->first;
+    if (now < state.recheck)
+        return;
+    state.recheck = TimePoint::max();
+    for (const auto &[name, service] : state.services)
+        dispatch(state, *service, now, output);
 }
 
-void finishProbe(State & /*state*/, const ProbeResult & /*result*/, TimePoint /*now*/,
-                 Output & /*output*/)
-{ }
+} // namespace
 
-void applyLoadHint(State & /*state*/, const LoadHint & /*hint*/, TimePoint /*now*/) { }
+void advanceTime(State &state, TimePoint now, Output &output)
+{
+    expireWaiting(state, now, output);
+    startHedges(state, now, output);
+    scanEndpoints(state, now, output);
+    recheckWaiting(state, now, output);
+}
 
-void forgetLearned(State & /*state*/, TimePoint /*now*/) { }
+TimePoint nextDeadline(const State &state)
+{
+    TimePoint next = state.recheck;
+    if (!state.endpoints.empty())
+        next = std::min(next, state.nextScan);
+    if (!state.deadlines.empty())
+        next = std::min(next, state.deadlines.begin()->first);
+    if (!state.hedges.empty())
+        next = std::min(next, state.hedges.begin()->first);
+    return next;
+}
 
-std::vector<LoadHint> collectHints(State & /*state*/, TimePoint /*now*/, std::size_t /*limit*/)
+void forgetLearned(State &state, TimePoint now)
 {
-    return {};
+    for (const auto &[name, endpoint] : state.endpoints) {
+        endpoint->load = {};
+        endpoint->serviceTime = {};
+        endpoint->limit = {};
+        endpoint->limit.value = static_cast<double>(endpoint->server.slots);
+        endpoint->outlier = {};
+        endpoint->lastHeard = now;
+    }
+    for (const auto &[name, service] : state.services) {
+        service->latencies = {};
+        service->shedShare = 0;
+        service->drainInterval = {};
+        service->lastDrain.reset();
+    }
 }
 
 } // namespace apricotrock::routing
