--- /dev/null
+++ b/packages/ledger/src/quarantine.cpp
@@ -0,0 +1,90 @@
+#include "apricotrock/ledger.h"
+
+#include <algorithm>
+
+namespace apricotrock::ledger {
+
+namespace {
+
+bool counts(const Crash &crash, std::uint64_t fingerprint)
+{
+    return crash.fingerprints.contains(fingerprint) && !crash.cleared.contains(fingerprint);
+}
+
+void updateSuspects(Quarantine &quarantine)
+{
+    quarantine.suspects.clear();
+    for (const auto &[id, crash] : quarantine.crashes) {
+        for (const std::uint64_t fingerprint : crash.fingerprints) {
+            if (counts(crash, fingerprint))
+                quarantine.suspects.insert(fingerprint);
+        }
+    }
+}
+
+} // namespace
+
+void addSuspicions(Quarantine &quarantine,
+                   const std::vector<const wire::CrashSuspicionT *> &suspicions, bool isComplete)
+{
+    for (const wire::CrashSuspicionT *suspicion : suspicions) {
+        Crash &crash = quarantine.crashes[{suspicion->backend_server, suspicion->expires_ms}];
+        crash.fingerprints.insert(suspicion->fingerprint);
+        crash.service = suspicion->service;
+        crash.isComplete = crash.isComplete || isComplete || suspicion->alone;
+    }
+    while (quarantine.crashes.size() > quarantine.maxCrashes) {
+        const auto earlier = [](const auto &a, const auto &b) {
+            return a.first.second < b.first.second;
+        };
+        quarantine.crashes.erase(
+            std::min_element(quarantine.crashes.begin(), quarantine.crashes.end(), earlier));
+    }
+}
+
+bool isSuspect(const Quarantine &quarantine, std::uint64_t fingerprint)
+{
+    return quarantine.suspects.contains(fingerprint);
+}
+
+bool isQuarantined(const Quarantine &quarantine, std::uint64_t fingerprint,
+                   std::uint64_t crashLimit)
+{
+    if (!isSuspect(quarantine, fingerprint))
+        return false;
+    std::uint64_t crashes = 0;
+    std::set<std::uint64_t> common;
+    for (const auto &[id, crash] : quarantine.crashes) {
+        if (!crash.isComplete || !counts(crash, fingerprint))
+            continue;
+        if (crashes++ == 0) {
+            common = crash.fingerprints;
+            continue;
+        }
+        std::erase_if(common,
+                      [&](std::uint64_t other) { return !crash.fingerprints.contains(other); });
+    }
+    return crashes >= crashLimit && common.size() == 1;
+}
+
+bool clearQuarantine(Quarantine &quarantine, std::uint64_t fingerprint)
+{
+    bool isCleared = false;
+    for (auto &[id, crash] : quarantine.crashes) {
+        // The crash stays known, so that a late hint of it does not bring the suspicion back.
+        if (counts(crash, fingerprint))
+            isCleared = crash.cleared.insert(fingerprint).second || isCleared;
+    }
+    updateSuspects(quarantine);
+    return isCleared;
+}
+
+void expireCrashes(Quarantine &quarantine, WallTime wallTime)
+{
+    const auto now = static_cast<std::uint64_t>(wallTime.time_since_epoch().count());
+    const auto isExpired = [now](const auto &crash) { return crash.first.second <= now; };
+    if (std::erase_if(quarantine.crashes, isExpired) > 0)
+        updateSuspects(quarantine);
+}
+
+} // namespace apricotrock::ledger
--- /dev/null
+++ b/packages/ledger/src/retention.cpp
@@ -0,0 +1,87 @@
+#include "apricotrock/ledger.h"
+
+#include <algorithm>
+
+namespace apricotrock::ledger {
+
+namespace {
+
+/// Ids of one incarnation that are held one by one. Copies of a record lie closer together: a
+/// writer appends the next record only after the last one's fate is known or given up.
+constexpr std::size_t recentSequences = 1024;
+/// Incarnations whose ids are held: more than two weeks at 240 restarts a day.
+constexpr std::size_t seenIncarnations = 4096;
+
+bool isEvictable(const Entry &entry)
+{
+    return entry.waiters == 0 && entry.state != EntryState::Claiming
+        && entry.state != EntryState::Running;
+}
+
+void evict(Ledger &ledger, std::map<ScopedKey, Entry>::iterator entry)
+{
+    // Time stamps of keys count milliseconds; keys of the same millisecond expire together.
+    ledger.watermark =
+        std::max(ledger.watermark, entry->first.uuid.time() + std::chrono::milliseconds(1));
+    if (entry->second.answer)
+        ledger.retainedBytes -= entry->second.answer->body.size();
+    ledger.entries.erase(entry);
+}
+
+} // namespace
+
+bool makeRoom(Ledger &ledger)
+{
+    if (ledger.entries.size() < ledger.parameters.maxEntries)
+        return true;
+    const auto oldest = std::find_if(ledger.entries.begin(), ledger.entries.end(),
+                                     [](const auto &item) { return isEvictable(item.second); });
+    if (oldest == ledger.entries.end())
+        return false;
+    evict(ledger, oldest);
+    return true;
+}
+
+void limitRetained(Ledger &ledger)
+{
+    while (ledger.retainedBytes > ledger.parameters.retainedAnswerBytes
+           && !ledger.retained.empty()) {
+        Entry *entry = findEntry(ledger, ledger.retained.front());
+        ledger.retained.pop_front();
+        if (!entry || !entry->answer)
+            continue;
+        ledger.retainedBytes -= entry->answer->body.size();
+        entry->answer.reset();
+    }
+    // Evicted entries leave their keys behind; the queue stays as short as the ledger.
+    while (ledger.retained.size() > ledger.parameters.maxEntries) {
+        Entry *entry = findEntry(ledger, ledger.retained.front());
+        ledger.retained.pop_front();
+        if (entry && entry->answer) {
+            ledger.retainedBytes -= entry->answer->body.size();
+            entry->answer.reset();
+        }
+    }
+}
+
+bool markSeen(SeenRecords &seen, const RecordId &id)
+{
+    const auto [item, isNew] = seen.byIncarnation.try_emplace(id.incarnation);
+    if (isNew) {
+        seen.order.push_back(id.incarnation);
+        if (seen.order.size() > seenIncarnations) {
+            seen.byIncarnation.erase(seen.order.front());
+            seen.order.pop_front();
+        }
+    }
+    SeenRecords::Sequences &sequences = item->second;
+    if (id.sequence < sequences.floor || !sequences.recent.insert(id.sequence).second)
+        return false;
+    if (sequences.recent.size() > recentSequences) {
+        sequences.floor = *sequences.recent.begin() + 1;
+        sequences.recent.erase(sequences.recent.begin());
+    }
+    return true;
+}
+
+} // namespace apricotrock::ledger
