--- a/packages/ledger/src/ledger.cpp
+++ b/packages/ledger/src/ledger.cpp
@@ -29,7 +29,7 @@
     return std::nullopt;
 }
 
-Decision receiveKnown(Entry &entry, const Copy &copy)
+Decision receiveKnown(const Entry &entry, const Copy &copy, bool isSealed)
 {
     if (copy.isStatusQuery) {
         if (entry.state == EntryState::Foreign && entry.winner)
@@ -45,6 +45,8 @@
         return {Verdict::AskOwner, {}, entry.winner.value_or(IncarnationId{})};
     if (isClosed(entry.state))
         return {Verdict::Answer, answerOf(entry), {}};
+    if (isSealed)
+        return answerWith(ErrorKind::Stopping, Outcome::Unknown);
     const bool needsLog =
         entry.state == EntryState::GivenUp || entry.state == EntryState::Releasing;
     if (needsLog && !copy.isLogAvailable)
@@ -138,8 +140,8 @@
     if (copy.key.owner && !isOwn)
         return {Verdict::AskOwner, {}, *copy.key.owner};
     const ScopedKey key = scopeKey(copy.key, copy.service);
-    if (Entry *entry = findEntry(ledger, key))
-        return receiveKnown(*entry, copy);
+    if (const Entry *entry = findEntry(ledger, key))
+        return receiveKnown(*entry, copy, ledger.isSealed);
     if (const auto kind = checkAge(ledger, copy))
         return answerWith(*kind, Outcome::Unknown);
     if (!makeRoom(ledger))
