Engine: Add the trace format and the replay of traces

Each event and effect is one JSON line; parseEvent reads back what formatEvent writes. A replay checks expectations that stand in the trace: runs of a key, replies, and requests without a reply.

--- a/packages/engine/include/apricotrock/engine.h
+++ b/packages/engine/include/apricotrock/engine.h
@@ -37,6 +37,7 @@
     RequestId id = 0;
 };
 
+/// Comes exactly once for each StartAttempt, also for a cancelled one.
 struct AttemptFinished
 {
     routing::AttemptResult result;
@@ -59,7 +60,8 @@
     std::shared_ptr<const AcceptedConfiguration> configuration;
 };
 
-/// A record of the events stream. The engine ignores a record id that it has seen.
+/// A record of the events stream, in log order from the first record that the log still holds. The
+/// engine ignores a record id that it has seen.
 struct LogRecordRead
 {
     std::uint64_t offset = 0;
@@ -67,7 +69,8 @@
     WallTime wallTime;
 };
 
-/// The events stream could not be read or appended to, or can be again.
+/// The events stream could not be read or appended to, or can be again. The engine takes it as
+/// available until the first such event.
 struct LogStateChanged
 {
     bool isAvailable = false;
@@ -257,5 +260,24 @@
 std::string formatEvent(const Event &event, Duration time);
 std::string formatEffect(const Effect &effect, Duration time);
 Result<std::pair<Event, Duration>> parseEvent(const std::string &line);
+/// The first line of a trace: what makeState() needs.
+std::string formatParameters(const Parameters &parameters);
+Result<Parameters> parseParameters(const std::string &line);
+
+/// What a replay found.
+struct ReplayReport
+{
+    std::size_t events = 0;
+    std::size_t effects = 0;
+    std::size_t expectations = 0;
+    /// One message for each expectation that does not hold, with its line number.
+    std::vector<std::string> failures;
+    /// The effects as trace lines, without load hints and probes.
+    std::string output;
+};
+
+/// Runs the events of a trace through step() and checks its expectations. Effect lines of the
+/// trace are not read. Returns an error that names the line if the trace is malformed.
+Result<ReplayReport> replayTrace(const std::string &text);
 
 } // namespace apricotrock::engine
