--- a/packages/engine/src/logevents.cpp
+++ b/packages/engine/src/logevents.cpp
@@ -26,6 +26,8 @@
         return dispatchKey(context, key);
     if (verdict == ledger::ClaimVerdict::WonTooLate)
         return appendRelease(context, key);
+    if (verdict == ledger::ClaimVerdict::Expired)
+        return replyAll(context, key, ledger::answerOf(*ledger::findEntry(state.ledger, key)));
     const auto inFlight = state.keys.find(key);
     if (inFlight == state.keys.end())
         return;
--- a/packages/engine/tests/historiestest.cpp
+++ b/packages/engine/tests/historiestest.cpp
@@ -55,7 +55,8 @@
             const std::string failure = world.run();
             if (!failure.empty())
                 report(seed, fault, isLogDown, failure);
-            tally(world, fault, isLogDown);
+            if (!world.hasSmallLedger())
+                tally(world, fault, isLogDown);
         }
         print();
     }
--- a/packages/engine/tests/historyworld.h
+++ b/packages/engine/tests/historyworld.h
@@ -89,8 +89,10 @@
     std::string run();
 
     [[nodiscard]] const std::vector<KeyRecord> &keys() const { return m_keys; }
-    /// Requests with a key that were answered, of all incarnations that were not killed.
+    /// Replies to callers that waited for them, for requests with a key.
     [[nodiscard]] const std::vector<Sent> &answered() const { return m_answered; }
+    /// True if the ledger holds so few keys that answers are about its bound, not about the fault.
+    [[nodiscard]] bool hasSmallLedger() const { return m_parameters.ledgerEntries < 10; }
     [[nodiscard]] const std::string &trace() const { return m_trace; }
 
 private:
--- a/packages/ledger/include/apricotrock/ledger.h
+++ b/packages/ledger/include/apricotrock/ledger.h
@@ -144,6 +144,8 @@
     Won,
     /// This incarnation holds the claim but has given up or may not dispatch any more: release it.
     WonTooLate,
+    /// The own claim was read back when the key was too old to tell whether it is the first.
+    Expired,
     /// Another incarnation may dispatch the key.
     Lost,
 };
--- a/packages/ledger/src/claims.cpp
+++ b/packages/ledger/src/claims.cpp
@@ -1,29 +1,31 @@
 #include "apricotrock/ledger.h"
 
+#include <algorithm>
+
 namespace apricotrock::ledger {
 
 namespace {
 
-/// Claims of keys that this ledger no longer remembers must not create entries: a copy that was
-/// evicted may have run.
+/// Returns nothing for a key below the watermark: a copy that was evicted may have run. A key that
+/// finds no room is put below it, because its claim would be forgotten otherwise.
 Entry *entryForRecord(Ledger &ledger, const ScopedKey &key)
 {
     if (Entry *entry = findEntry(ledger, key))
         return entry;
-    if (key.uuid.time() < ledger.watermark || !makeRoom(ledger)
-        || key.uuid.time() < ledger.watermark)
+    if (!makeRoom(ledger))
+        ledger.watermark =
+            std::max(ledger.watermark, key.uuid.time() + std::chrono::milliseconds(1));
+    if (key.uuid.time() < ledger.watermark)
         return nullptr;
     Entry &entry = ledger.entries[key];
     entry.state = EntryState::Foreign;
     return &entry;
 }
 
-ClaimVerdict applyOwnClaim(const Ledger &ledger, Entry &entry, const ScopedKey &key,
-                           WallTime wallTime)
+ClaimVerdict applyOwnClaim(const Ledger &ledger, Entry &entry)
 {
-    // An earlier claim of the key may have expired from the log unread if the key is too old.
-    const bool isTooOld = key.uuid.time() + ledger.parameters.keyMaxAge < wallTime;
-    if (entry.state == EntryState::Claiming && !isTooOld && !ledger.isSealed) {
+    entry.winner = ledger.parameters.incarnation;
+    if (entry.state == EntryState::Claiming && !ledger.isSealed) {
         entry.state = EntryState::Running;
         return ClaimVerdict::Won;
     }
@@ -32,6 +34,18 @@
     return ClaimVerdict::WonTooLate;
 }
 
+/// An earlier claim of a key that is too old may have expired from the log before it was read, so
+/// the first claim seen need not be the first one: it neither runs nor rules out a run.
+ClaimVerdict applyExpiredClaim(const Ledger &ledger, Entry &entry, IncarnationId from)
+{
+    const bool isOwn = from == ledger.parameters.incarnation;
+    if (!isOwn || (entry.state != EntryState::Claiming && entry.state != EntryState::GivenUp))
+        return ClaimVerdict::Ignored;
+    entry.state = EntryState::Unknown;
+    entry.kind = ErrorKind::KeyExpired;
+    return ClaimVerdict::Expired;
+}
+
 } // namespace
 
 ScopedKey keyOf(const wire::KeyId &key, std::uint64_t service)
@@ -53,12 +67,16 @@
     const ScopedKey key = keyOf(*claim.key, claim.service_hash);
     if (key.owner)
         return ClaimVerdict::Ignored;
+    if (key.uuid.time() + ledger.parameters.keyMaxAge < wallTime) {
+        Entry *known = findEntry(ledger, key);
+        return known ? applyExpiredClaim(ledger, *known, from) : ClaimVerdict::Ignored;
+    }
     Entry *entry = entryForRecord(ledger, key);
     if (!entry || entry->winner)
         return ClaimVerdict::Ignored;
-    entry->winner = from;
     if (from == ledger.parameters.incarnation)
-        return applyOwnClaim(ledger, *entry, key, wallTime);
+        return applyOwnClaim(ledger, *entry);
+    entry->winner = from;
     entry->state = EntryState::Foreign;
     entry->fingerprint = claim.fingerprint;
     return ClaimVerdict::Lost;
