--- a/packages/engine/tests/historyworld.cpp
+++ b/packages/engine/tests/historyworld.cpp
@@ -106,15 +106,19 @@
 
 void World::tellPeers()
 {
-    for (std::size_t slot = 0; slot < m_instances.size(); ++slot) {
-        engine::PeersChanged event;
-        for (std::size_t other = 0; other < m_instances.size(); ++other) {
-            const bool isCut = m_cuts.contains({std::min(slot, other), std::max(slot, other)});
-            if (other != slot && m_instances[other].isAlive && !isCut)
-                event.reachable.push_back(m_instances[other].incarnation);
-        }
-        deliver(slot, m_instances[slot].incarnation, event, between(1, 100));
+    for (std::size_t slot = 0; slot < m_instances.size(); ++slot)
+        at(between(1, 100), [this, slot] { tellPeers(slot); });
+}
+
+void World::tellPeers(std::size_t slot)
+{
+    engine::PeersChanged event;
+    for (std::size_t other = 0; other < m_instances.size(); ++other) {
+        const bool isCut = m_cuts.contains({std::min(slot, other), std::max(slot, other)});
+        if (other != slot && m_instances[other].isAlive && !isCut)
+            event.reachable.push_back(m_instances[other].incarnation);
     }
+    deliver(slot, m_instances[slot].incarnation, event, Duration(0));
 }
 
 void World::deliver(std::size_t slot, IncarnationId incarnation, Event event, Duration delay)
--- a/packages/engine/tests/historyworld.h
+++ b/packages/engine/tests/historyworld.h
@@ -122,6 +122,7 @@
     void start(std::size_t slot);
     void retire(std::size_t slot);
     void tellPeers();
+    void tellPeers(std::size_t slot);
     void at(Duration delay, std::function<void()> work);
     void deliver(std::size_t slot, IncarnationId incarnation, Event event, Duration delay);
     void step(std::size_t slot, const Event &event);
