--- a/packages/config/include/apricotrock/config.h
+++ b/packages/config/include/apricotrock/config.h
@@ -46,9 +46,6 @@
 /// Checks every object and every reference of the whole set and adds each problem. The result is
 /// usable only if no problem was added.
 Configuration validate(const ObjectTexts &objects, std::vector<Problem> &problems);
-/// Gives each problem of the set that was read from \a text its file and line.
-void locateProblems(const std::string &file, const std::string &text,
-                    std::vector<Problem> &problems);
 /// Returns INI text that reads back as \a objects.
 std::string formatObjects(const ObjectTexts &objects);
 std::string configurationDigest(const ObjectTexts &objects);
--- a/packages/settings/include/apricotrock/fields.h
+++ b/packages/settings/include/apricotrock/fields.h
@@ -113,6 +113,9 @@
 /// Splits INI text into sections in their order; a section that appears twice is a problem.
 std::vector<RawSection> parseIni(const std::string &file, const std::string &text,
                                  std::vector<Problem> &problems);
+/// Gives each problem without a file the file and the line of its section and key in \a text.
+void locateProblems(const std::string &file, const std::string &text,
+                    std::vector<Problem> &problems);
 /// Returns the content of \a file; a file that cannot be read or is above 16 MiB is a problem.
 std::optional<std::string> readTextFile(const std::string &file, std::vector<Problem> &problems);
 
--- a/packages/settings/src/conflicts.cpp
+++ b/packages/settings/src/conflicts.cpp
@@ -13,7 +13,7 @@
     return endpoint.ip == "0.0.0.0" || endpoint.ip == "::";
 }
 
-void checkKeyAge(const std::string &file, const Settings &settings, std::vector<Problem> &problems)
+void checkKeyAge(const Settings &settings, std::vector<Problem> &problems)
 {
     const KeysSettings &keys = settings.keys;
     const auto retention = settings.platform.logRetention;
@@ -22,39 +22,35 @@
     const auto needed = keys.maxAge + 2 * keys.clockTolerance;
     if (needed < retention)
         return;
-    problems.push_back({file, "keys", "max_age", formatDuration(keys.maxAge),
+    problems.push_back({"", "keys", "max_age", formatDuration(keys.maxAge),
                         "max_age + 2 * clock_tolerance is " + formatDuration(needed)
                             + ", not below platform.log_retention " + formatDuration(retention)
                             + ", so that the log could lose the claim of a key that is accepted",
                         "lower keys.max_age or raise platform.log_retention"});
 }
 
-void checkHeartbeat(const std::string &file, const PeersSettings &peers,
-                    std::vector<Problem> &problems)
+void checkHeartbeat(const PeersSettings &peers, std::vector<Problem> &problems)
 {
     const bool isRead = peers.heartbeatInterval != unread && peers.heartbeatTimeout != unread;
     if (!isRead || peers.heartbeatTimeout > peers.heartbeatInterval)
         return;
-    problems.push_back({file, "peers", "heartbeat_timeout", formatDuration(peers.heartbeatTimeout),
+    problems.push_back({"", "peers", "heartbeat_timeout", formatDuration(peers.heartbeatTimeout),
                         "not above heartbeat_interval " + formatDuration(peers.heartbeatInterval)
                             + ", so that working links would be replaced",
                         "use several times heartbeat_interval"});
 }
 
-void checkDeadlines(const std::string &file, const CallersSettings &callers,
-                    std::vector<Problem> &problems)
+void checkDeadlines(const CallersSettings &callers, std::vector<Problem> &problems)
 {
     const bool isRead = callers.defaultDeadline != unread && callers.maxDeadline != unread;
     if (!isRead || callers.defaultDeadline <= callers.maxDeadline)
         return;
-    problems.push_back({file, "callers", "default_deadline",
-                        formatDuration(callers.defaultDeadline),
+    problems.push_back({"", "callers", "default_deadline", formatDuration(callers.defaultDeadline),
                         "above max_deadline " + formatDuration(callers.maxDeadline),
                         "lower default_deadline or raise max_deadline"});
 }
 
-void checkListeners(const std::string &file, const ListenSettings &listen,
-                    std::vector<Problem> &problems)
+void checkListeners(const ListenSettings &listen, std::vector<Problem> &problems)
 {
     const std::array<std::pair<std::string_view, const Endpoint *>, 3> listeners = {
         {{"callers", &listen.callers}, {"operators", &listen.operators}, {"peers", &listen.peers}}};
@@ -64,26 +60,25 @@
             // Port 0 lets the system choose a free port.
             if (endpoint->port == 0 || *endpoint != *listeners[j].second)
                 continue;
-            problems.push_back({file, "listen", std::string(key), endpoint->toString(),
+            problems.push_back({"", "listen", std::string(key), endpoint->toString(),
                                 "the same address as " + std::string(listeners[j].first),
                                 "use a port of its own for each listener"});
         }
     }
     if (isWildcard(listen.callers) && listen.advertise.ip.empty())
-        problems.push_back({file, "listen", "advertise", "",
+        problems.push_back({"", "listen", "advertise", "",
                             "callers listens on all addresses, which callers cannot connect to",
                             "set advertise to the address that callers reach"});
 }
 
 } // namespace
 
-void checkConflicts(const std::string &file, const Settings &settings,
-                    std::vector<Problem> &problems)
+void checkConflicts(const Settings &settings, std::vector<Problem> &problems)
 {
-    checkKeyAge(file, settings, problems);
-    checkHeartbeat(file, settings.peers, problems);
-    checkDeadlines(file, settings.callers, problems);
-    checkListeners(file, settings.listen, problems);
+    checkKeyAge(settings, problems);
+    checkHeartbeat(settings.peers, problems);
+    checkDeadlines(settings.callers, problems);
+    checkListeners(settings.listen, problems);
 }
 
 } // namespace apricotrock
--- a/packages/settings/src/conflicts.h
+++ b/packages/settings/src/conflicts.h
@@ -5,7 +5,6 @@
 namespace apricotrock {
 
 /// Reports keys that contradict each other. Keys that could not be read hold zero and are skipped.
-void checkConflicts(const std::string &file, const Settings &settings,
-                    std::vector<Problem> &problems);
+void checkConflicts(const Settings &settings, std::vector<Problem> &problems);
 
 } // namespace apricotrock
--- a/packages/settings/src/readsettings.cpp
+++ b/packages/settings/src/readsettings.cpp
@@ -75,7 +75,8 @@
     reader.read(shutdownFields(), settings.shutdown);
     reader.read(logFields(), settings.log);
     reader.checkUnknownSections();
-    checkConflicts(file, settings, problems);
+    checkConflicts(settings, problems);
+    locateProblems(file, text, problems);
     return settings;
 }
 
