--- a/packages/config/src/objects.cpp
+++ b/packages/config/src/objects.cpp
@@ -13,7 +13,7 @@
 {
     std::string text;
     for (const auto &[key, value] : values)
-        text += key + " = " + value + '\n';
+        text.append(key).append(" = ").append(value).append("\n");
     return text;
 }
 
--- a/packages/settings/src/fieldreader.cpp
+++ b/packages/settings/src/fieldreader.cpp
@@ -197,16 +197,16 @@
 
 void FieldReader::checkUnknownKeys(const std::vector<FieldInfo> &fields) const
 {
-    for (const auto &[key, value] : m_section.values) {
-        const auto isKey = [&key](const FieldInfo &field) { return field.key == key; };
+    for (const auto &entry : m_section.values) {
+        const auto isKey = [&entry](const FieldInfo &field) { return field.key == entry.first; };
         if (std::any_of(fields.begin(), fields.end(), isKey))
             continue;
         std::string remedy = "remove it, or use one of";
         for (const FieldInfo &field : fields)
             remedy += ' ' + std::string(field.key);
         FieldInfo unknown{};
-        unknown.key = key;
-        report(unknown, value, "unknown key", std::move(remedy));
+        unknown.key = entry.first;
+        report(unknown, entry.second, "unknown key", std::move(remedy));
     }
 }
 
--- a/packages/settings/src/readsettings.cpp
+++ b/packages/settings/src/readsettings.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Far above any real file; keeps a wrong path, for example a device, from filling the memory.
-constexpr std::size_t maxFileBytes = 16 * 1024 * 1024;
+constexpr std::size_t maxFileBytes = std::size_t(16) * 1024 * 1024;
 
 /// Hands each section of a file to its struct once.
 class SectionReader
