Emulator: Add backend servers with slots, faults and counted runs

Tests and benchmarks need backend servers that queue, shed, drain, crash and answer wrongly on request, and that count what they ran by key. RESTinio neither tells that a caller has gone nor sends malformed answers, so a small server over Asio and http_parser does both.

--- a/packages/emulator/src/connection.cpp
+++ b/packages/emulator/src/connection.cpp
@@ -13,13 +13,16 @@
 
 void Connection::respond(const HttpResponse &response)
 {
-    write(serialize(response, m_keepAlive), !m_keepAlive);
+    std::string bytes = serialize(response, m_keepAlive);
+    if (m_parser.method == HTTP_HEAD)
+        bytes.resize(bytes.size() - response.body.size());
+    write(std::move(bytes), !m_keepAlive);
 }
 
-void Connection::sendRaw(std::string bytes, bool closeAfter)
+void Connection::sendRaw(std::string bytes, AfterRaw after)
 {
-    m_isMuted = true;
-    write(std::move(bytes), closeAfter);
+    m_isMuted = m_isMuted || after == AfterRaw::Mute;
+    write(std::move(bytes), after == AfterRaw::Close);
 }
 
 void Connection::close(bool reset)
@@ -149,7 +152,7 @@
 
 void Connection::write(std::string bytes, bool closeAfter)
 {
-    if (m_isClosed || !m_isWaiting)
+    if (m_isClosed || m_isFrozen || !m_isWaiting)
         return;
     m_onGone = nullptr;
     m_output = std::move(bytes);
--- a/packages/emulator/src/connection.h
+++ b/packages/emulator/src/connection.h
@@ -16,7 +16,8 @@
 
     void start() { read(); }
     void respond(const HttpResponse &response);
-    void sendRaw(std::string bytes, bool closeAfter);
+    void sendRaw(std::string bytes, AfterRaw after);
+    void freeze() { m_isMuted = m_isFrozen = true; }
     void close(bool reset);
     [[nodiscard]] bool isClosed() const { return m_isClosed; }
     void onGone(std::function<void()> callback) { m_onGone = std::move(callback); }
@@ -50,6 +51,7 @@
     bool m_isWaiting = false;
     bool m_isClosed = false;
     bool m_isMuted = false;
+    bool m_isFrozen = false;
     std::function<void()> m_onGone;
 };
 
--- a/packages/emulator/src/httpserver.cpp
+++ b/packages/emulator/src/httpserver.cpp
@@ -19,10 +19,10 @@
         connection->respond(response);
 }
 
-void Exchange::sendRaw(std::string bytes, bool closeAfter)
+void Exchange::sendRaw(std::string bytes, AfterRaw after)
 {
     if (const auto connection = m_connection.lock())
-        connection->sendRaw(std::move(bytes), closeAfter);
+        connection->sendRaw(std::move(bytes), after);
 }
 
 void Exchange::abort(bool reset)
@@ -70,6 +70,12 @@
         listen();
 }
 
+void HttpServer::freezeConnections()
+{
+    for (const auto &connection : m_connections)
+        connection->freeze();
+}
+
 void HttpServer::listen()
 {
     m_acceptor.open(m_endpoint.protocol());
--- a/packages/emulator/src/httpserver.h
+++ b/packages/emulator/src/httpserver.h
@@ -10,6 +10,16 @@
 
 class Connection;
 
+/// What becomes of a connection behind bytes that were sent as they are.
+enum class AfterRaw {
+    /// The connection is closed.
+    Close,
+    /// It stays open and takes no further requests.
+    Mute,
+    /// It takes the next request.
+    Continue,
+};
+
 /// One request that waits for its answer. All calls run on the thread of the server's io_context.
 class Exchange
 {
@@ -20,9 +30,8 @@
 
     /// Sends a complete answer; keeps the connection open if the request allows it.
     void respond(const HttpResponse &response);
-    /// Sends \a bytes as they are; the connection then takes no further requests. It is closed
-    /// behind them if \a closeAfter is set, and otherwise left open.
-    void sendRaw(std::string bytes, bool closeAfter);
+    /// Sends \a bytes as they are.
+    void sendRaw(std::string bytes, AfterRaw after);
     /// Closes the connection; \a reset sends RST instead of FIN.
     void abort(bool reset);
     /// Returns true if the caller has closed the connection.
@@ -54,6 +63,8 @@
     void crash();
     /// Listens again after crash().
     void restart();
+    /// Makes all open connections unresponsive for good; new ones work.
+    void freezeConnections();
     [[nodiscard]] std::size_t connectionCount() const { return m_connections.size(); }
 
 private:
--- a/packages/emulator/src/main.cpp
+++ b/packages/emulator/src/main.cpp
@@ -24,6 +24,7 @@
     app.require_subcommand(1);
     std::function<int()> run;
     apricotrock::emulator::addPlatformCommand(app, run);
+    apricotrock::emulator::addBackendCommand(app, run);
     CLI11_PARSE(app, argc, argv);
     return runCommand(run);
 }
--- a/packages/emulator/src/options.h
+++ b/packages/emulator/src/options.h
@@ -9,6 +9,7 @@
 /// Adds a subcommand to \a app. \a run is set to the function that carries it out; the function
 /// returns the exit code.
 void addPlatformCommand(CLI::App &app, std::function<int()> &run);
+void addBackendCommand(CLI::App &app, std::function<int()> &run);
 
 /// Reads `IP:PORT`; throws CLI::ValidationError.
 Endpoint readEndpoint(const std::string &text);
--- a/packages/emulator/src/platformservice.cpp
+++ b/packages/emulator/src/platformservice.cpp
@@ -1,10 +1,11 @@
 #include "platformservice.h"
 
+#include "requestquery.h"
+
 #include <nlohmann/json.hpp>
 #include <restinio/utils/base64.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace apricotrock::emulator {
 
@@ -18,27 +19,9 @@
 constexpr std::string_view recordsSuffix = "/records";
 constexpr std::string_view controlPrefix = "/control/";
 
-HttpResponse jsonResponse(int status, const Json &json)
-{
-    return {status, {{"Content-Type", "application/json"}}, json.dump()};
-}
-
-std::optional<std::uint64_t> queryNumber(const HttpRequest &request, std::string_view name)
-{
-    const auto text = queryValue(request.target, name);
-    if (!text)
-        return std::nullopt;
-    std::uint64_t value = 0;
-    const char *end = text->data() + text->size();
-    const auto [stop, error] = std::from_chars(text->data(), end, value);
-    if (error != std::errc() || stop != end)
-        return std::nullopt;
-    return value;
-}
-
-std::string_view pathOf(const HttpRequest &request)
+HttpResponse jsonAnswer(int status, const Json &json)
 {
-    return std::string_view(request.target).substr(0, request.target.find('?'));
+    return jsonResponse(status, json.dump());
 }
 
 /// Returns the stream name in `/streams/NAME/records`, or nothing.
@@ -82,7 +65,7 @@
 void PlatformService::serve(const std::shared_ptr<Exchange> &exchange)
 {
     if (outage() == Outage::Refuse) {
-        exchange->respond(jsonResponse(503, {{"error", "the platform is unavailable"}}));
+        exchange->respond(jsonAnswer(503, {{"error", "the platform is unavailable"}}));
         return;
     }
     if (outage() == Outage::Hang) {
@@ -98,14 +81,14 @@
     else if (path == "/instances" && exchange->request.method == "GET")
         answerInstances(*exchange);
     else
-        exchange->respond(jsonResponse(404, {{"error", "no such resource"}}));
+        exchange->respond(jsonAnswer(404, {{"error", "no such resource"}}));
 }
 
 void PlatformService::append(const std::shared_ptr<Exchange> &exchange, const std::string &name)
 {
     if (!takeAppendToken()) {
         ++m_stats.appendsRefused;
-        exchange->respond(jsonResponse(503, {{"error", "too many appends"}}));
+        exchange->respond(jsonAnswer(503, {{"error", "too many appends"}}));
         return;
     }
     Stream &stream = m_streams[name];
@@ -116,8 +99,7 @@
     if (outage() == Outage::LoseAnswers)
         exchange->abort(false);
     else
-        exchange->respond(
-            jsonResponse(201, {{"offset", stream.first + stream.records.size() - 1}}));
+        exchange->respond(jsonAnswer(201, {{"offset", stream.first + stream.records.size() - 1}}));
     wakeWaiters(name);
 }
 
@@ -161,7 +143,7 @@
     }
     m_stats.bytesRead += bytes;
     exchange.respond(
-        jsonResponse(200, {{"first", stream.first}, {"next", next}, {"records", records}}));
+        jsonAnswer(200, {{"first", stream.first}, {"next", next}, {"records", records}}));
 }
 
 void PlatformService::wakeWaiters(const std::string &name)
@@ -184,8 +166,7 @@
 void PlatformService::answerInstances(Exchange &exchange)
 {
     ++m_stats.listReads;
-    exchange.respond(
-        {200, {{"Content-Type", "application/json"}}, R"({"instances":)" + m_instances + '}'});
+    exchange.respond(jsonResponse(200, R"({"instances":)" + m_instances + '}'));
 }
 
 void PlatformService::control(const std::shared_ptr<Exchange> &exchange, std::string_view path)
@@ -196,13 +177,13 @@
         expire(*exchange);
     } else if (path == "slow") {
         m_delay = std::chrono::milliseconds(queryNumber(exchange->request, "delay_ms").value_or(0));
-        exchange->respond(jsonResponse(200, Json::object()));
+        exchange->respond(jsonAnswer(200, Json::object()));
     } else if (path == "instances") {
         setInstances(*exchange);
     } else if (path == "stats") {
         answerStats(*exchange);
     } else {
-        exchange->respond(jsonResponse(404, {{"error", "no such control"}}));
+        exchange->respond(jsonAnswer(404, {{"error", "no such control"}}));
     }
 }
 
@@ -214,7 +195,7 @@
                                                         {"lose-answers", Outage::LoseAnswers}};
     const auto mode = modes.find(queryValue(exchange.request.target, "mode").value_or(""));
     if (mode == modes.end()) {
-        exchange.respond(jsonResponse(400, {{"error", "mode: off|refuse|hang|lose-answers"}}));
+        exchange.respond(badControl("mode: off|refuse|hang|lose-answers"));
         return;
     }
     m_outage = mode->second;
@@ -222,14 +203,14 @@
     m_outageEnd = duration ? Clock::now() + std::chrono::milliseconds(*duration) : TimePoint::max();
     if (m_outage == Outage::Off)
         m_hanging.clear();
-    exchange.respond(jsonResponse(200, Json::object()));
+    exchange.respond(jsonAnswer(200, Json::object()));
 }
 
 void PlatformService::setInstances(Exchange &exchange)
 {
     const Json list = Json::parse(exchange.request.body, nullptr, false);
     if (!list.is_array()) {
-        exchange.respond(jsonResponse(400, {{"error", "the body must be a JSON array"}}));
+        exchange.respond(badControl("the body must be a JSON array"));
         return;
     }
     auto timer = std::make_shared<asio::steady_timer>(m_context, m_parameters.listLag);
@@ -237,14 +218,14 @@
         if (!error)
             m_instances = text;
     });
-    exchange.respond(jsonResponse(200, Json::object()));
+    exchange.respond(jsonAnswer(200, Json::object()));
 }
 
 void PlatformService::expire(Exchange &exchange)
 {
     const auto before = queryNumber(exchange.request, "before");
     if (!before) {
-        exchange.respond(jsonResponse(400, {{"error", "before: an offset"}}));
+        exchange.respond(badControl("before: an offset"));
         return;
     }
     const auto only = queryValue(exchange.request.target, "stream");
@@ -252,18 +233,18 @@
         if (!only || *only == name)
             dropBefore(stream, *before);
     }
-    exchange.respond(jsonResponse(200, Json::object()));
+    exchange.respond(jsonAnswer(200, Json::object()));
 }
 
 void PlatformService::answerStats(Exchange &exchange)
 {
-    exchange.respond(jsonResponse(200,
-                                  {{"appends", m_stats.appends},
-                                   {"appends_refused", m_stats.appendsRefused},
-                                   {"reads", m_stats.reads},
-                                   {"list_reads", m_stats.listReads},
-                                   {"bytes_appended", m_stats.bytesAppended},
-                                   {"bytes_read", m_stats.bytesRead}}));
+    exchange.respond(jsonAnswer(200,
+                                {{"appends", m_stats.appends},
+                                 {"appends_refused", m_stats.appendsRefused},
+                                 {"reads", m_stats.reads},
+                                 {"list_reads", m_stats.listReads},
+                                 {"bytes_appended", m_stats.bytesAppended},
+                                 {"bytes_read", m_stats.bytesRead}}));
 }
 
 void PlatformService::dropExpired(Stream &stream)
