--- a/packages/emulator/src/main.cpp
+++ b/packages/emulator/src/main.cpp
@@ -25,6 +25,7 @@
     std::function<int()> run;
     apricotrock::emulator::addPlatformCommand(app, run);
     apricotrock::emulator::addBackendCommand(app, run);
+    apricotrock::emulator::addLoadCommand(app, run);
     CLI11_PARSE(app, argc, argv);
     return runCommand(run);
 }
--- a/packages/emulator/src/options.h
+++ b/packages/emulator/src/options.h
@@ -10,6 +10,7 @@
 /// returns the exit code.
 void addPlatformCommand(CLI::App &app, std::function<int()> &run);
 void addBackendCommand(CLI::App &app, std::function<int()> &run);
+void addLoadCommand(CLI::App &app, std::function<int()> &run);
 
 /// Reads `IP:PORT`; throws CLI::ValidationError.
 Endpoint readEndpoint(const std::string &text);
