--- a/packages/emulator/src/platformservice.cpp
+++ b/packages/emulator/src/platformservice.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::uint64_t defaultMaxRecords = 100;
 constexpr std::uint64_t maxReadBytes = 8 * 1024 * 1024;
+constexpr std::chrono::milliseconds maxOutage = std::chrono::hours(24 * 365);
 constexpr std::string_view streamsPrefix = "/streams/";
 constexpr std::string_view recordsSuffix = "/records";
 constexpr std::string_view controlPrefix = "/control/";
@@ -64,27 +65,30 @@
 
 void PlatformService::serve(const std::shared_ptr<Exchange> &exchange)
 {
-    if (outage() == Outage::Refuse) {
+    const auto stream = streamName(pathOf(exchange->request));
+    const bool isAppend = stream && exchange->request.method == "POST";
+    // Only appends lose their answers, so other requests don't use up the count of that outage.
+    const Outage mode = m_outage == Outage::LoseAnswers && !isAppend ? Outage::Off : takeOutage();
+    if (mode == Outage::Refuse) {
         exchange->respond(jsonAnswer(503, {{"error", "the platform is unavailable"}}));
         return;
     }
-    if (outage() == Outage::Hang) {
+    if (mode == Outage::Hang) {
         m_hanging.push_back(exchange);
         return;
     }
-    const std::string_view path = pathOf(exchange->request);
-    const auto stream = streamName(path);
-    if (stream && exchange->request.method == "POST")
-        append(exchange, *stream);
+    if (isAppend)
+        append(exchange, *stream, mode == Outage::LoseAnswers);
     else if (stream && exchange->request.method == "GET")
         read(exchange, *stream);
-    else if (path == "/instances" && exchange->request.method == "GET")
+    else if (pathOf(exchange->request) == "/instances" && exchange->request.method == "GET")
         answerInstances(*exchange);
     else
         exchange->respond(jsonAnswer(404, {{"error", "no such resource"}}));
 }
 
-void PlatformService::append(const std::shared_ptr<Exchange> &exchange, const std::string &name)
+void PlatformService::append(const std::shared_ptr<Exchange> &exchange, const std::string &name,
+                             bool losesAnswer)
 {
     if (!takeAppendToken()) {
         ++m_stats.appendsRefused;
@@ -96,7 +100,7 @@
     stream.records.push_back({Clock::now(), exchange->request.body});
     ++m_stats.appends;
     m_stats.bytesAppended += exchange->request.body.size();
-    if (outage() == Outage::LoseAnswers)
+    if (losesAnswer)
         exchange->abort(false);
     else
         exchange->respond(jsonAnswer(201, {{"offset", stream.first + stream.records.size() - 1}}));
@@ -172,14 +176,14 @@
 void PlatformService::control(const std::shared_ptr<Exchange> &exchange, std::string_view path)
 {
     if (path == "outage") {
-        setOutage(*exchange);
+        controlOutage(*exchange);
     } else if (path == "expire") {
-        expire(*exchange);
+        controlExpire(*exchange);
     } else if (path == "slow") {
         m_delay = std::chrono::milliseconds(queryNumber(exchange->request, "delay_ms").value_or(0));
         exchange->respond(jsonAnswer(200, Json::object()));
     } else if (path == "instances") {
-        setInstances(*exchange);
+        controlInstances(*exchange);
     } else if (path == "stats") {
         answerStats(*exchange);
     } else {
@@ -187,7 +191,7 @@
     }
 }
 
-void PlatformService::setOutage(Exchange &exchange)
+void PlatformService::controlOutage(Exchange &exchange)
 {
     static const std::map<std::string, Outage> modes = {{"off", Outage::Off},
                                                         {"refuse", Outage::Refuse},
@@ -198,44 +202,59 @@
         exchange.respond(badControl("mode: off|refuse|hang|lose-answers"));
         return;
     }
-    m_outage = mode->second;
-    const auto duration = queryNumber(exchange.request, "duration_ms");
-    m_outageEnd = duration ? Clock::now() + std::chrono::milliseconds(*duration) : TimePoint::max();
-    if (m_outage == Outage::Off)
-        m_hanging.clear();
+    const std::chrono::milliseconds duration(
+        queryNumber(exchange.request, "duration_ms").value_or(maxOutage.count()));
+    setOutage(mode->second, duration, queryNumber(exchange.request, "count").value_or(0));
     exchange.respond(jsonAnswer(200, Json::object()));
 }
 
-void PlatformService::setInstances(Exchange &exchange)
+void PlatformService::setOutage(Outage mode, std::chrono::milliseconds duration,
+                                std::uint64_t count)
+{
+    m_outage = mode;
+    m_outageEnd = Clock::now() + std::min(duration, maxOutage);
+    m_outageCount = count;
+    if (mode == Outage::Off)
+        m_hanging.clear();
+}
+
+void PlatformService::controlInstances(Exchange &exchange)
 {
     const Json list = Json::parse(exchange.request.body, nullptr, false);
     if (!list.is_array()) {
         exchange.respond(badControl("the body must be a JSON array"));
         return;
     }
+    setInstances(list.dump());
+    exchange.respond(jsonAnswer(200, Json::object()));
+}
+
+void PlatformService::setInstances(const std::string &listJson)
+{
     auto timer = std::make_shared<asio::steady_timer>(m_context, m_parameters.listLag);
-    timer->async_wait([this, timer, text = list.dump()](const asio::error_code &error) {
+    timer->async_wait([this, timer, listJson](const asio::error_code &error) {
         if (!error)
-            m_instances = text;
+            m_instances = listJson;
     });
-    exchange.respond(jsonAnswer(200, Json::object()));
 }
 
-void PlatformService::expire(Exchange &exchange)
+void PlatformService::controlExpire(Exchange &exchange)
 {
     const auto before = queryNumber(exchange.request, "before");
     if (!before) {
         exchange.respond(badControl("before: an offset"));
         return;
     }
-    const auto only = queryValue(exchange.request.target, "stream");
-    for (auto &[name, stream] : m_streams) {
-        if (!only || *only == name)
-            dropBefore(stream, *before);
-    }
+    expire(*before);
     exchange.respond(jsonAnswer(200, Json::object()));
 }
 
+void PlatformService::expire(std::uint64_t offset)
+{
+    for (auto &[name, stream] : m_streams)
+        dropBefore(stream, offset);
+}
+
 void PlatformService::answerStats(Exchange &exchange)
 {
     exchange.respond(jsonAnswer(200,
@@ -277,13 +296,16 @@
     return true;
 }
 
-PlatformService::Outage PlatformService::outage()
+Outage PlatformService::takeOutage()
 {
     if (m_outage != Outage::Off && Clock::now() >= m_outageEnd) {
         m_outage = Outage::Off;
         m_hanging.clear();
     }
-    return m_outage;
+    const Outage mode = m_outage;
+    if (m_outageCount > 0 && --m_outageCount == 0)
+        m_outage = Outage::Off;
+    return mode;
 }
 
 } // namespace apricotrock::emulator
--- a/packages/emulator/src/platformservice.h
+++ b/packages/emulator/src/platformservice.h
@@ -16,6 +16,8 @@
     std::uint64_t appendsPerSecond = 400;
 };
 
+enum class Outage { Off, Refuse, Hang, LoseAnswers };
+
 /// The platform's log service and instance list, in memory (design page, section 4), with test
 /// controls under /control.
 class PlatformService
@@ -26,10 +28,13 @@
     PlatformService &operator=(const PlatformService &) = delete;
 
     [[nodiscard]] std::uint16_t port() const { return m_server.port(); }
+    /// The outage ends after \a duration, or after \a count requests if that is above 0.
+    void setOutage(Outage mode, std::chrono::milliseconds duration, std::uint64_t count);
+    /// Drops the records below \a offset, of all streams.
+    void expire(std::uint64_t offset);
+    void setInstances(const std::string &listJson);
 
 private:
-    enum class Outage { Off, Refuse, Hang, LoseAnswers };
-
     struct StoredRecord
     {
         TimePoint time;
@@ -66,20 +71,22 @@
     void handleDelayed(const std::shared_ptr<Exchange> &exchange);
     void serve(const std::shared_ptr<Exchange> &exchange);
     void control(const std::shared_ptr<Exchange> &exchange, std::string_view path);
-    void append(const std::shared_ptr<Exchange> &exchange, const std::string &stream);
+    void append(const std::shared_ptr<Exchange> &exchange, const std::string &stream,
+                bool losesAnswer);
     void read(const std::shared_ptr<Exchange> &exchange, const std::string &stream);
     void answerRead(Exchange &exchange, const std::string &stream, std::uint64_t from,
                     std::uint64_t max);
     void wakeWaiters(const std::string &stream);
     void answerInstances(Exchange &exchange);
-    void setOutage(Exchange &exchange);
-    void setInstances(Exchange &exchange);
-    void expire(Exchange &exchange);
+    void controlOutage(Exchange &exchange);
+    void controlInstances(Exchange &exchange);
+    void controlExpire(Exchange &exchange);
     void answerStats(Exchange &exchange);
     void dropExpired(Stream &stream);
     void dropBefore(Stream &stream, std::uint64_t offset);
     bool takeAppendToken();
-    [[nodiscard]] Outage outage();
+    /// Returns the outage that the present request meets.
+    Outage takeOutage();
 
     asio::io_context &m_context;
     const PlatformParameters m_parameters;
@@ -91,6 +98,8 @@
     Stats m_stats;
     Outage m_outage = Outage::Off;
     TimePoint m_outageEnd{};
+    /// Requests until the outage ends; 0 for no limit.
+    std::uint64_t m_outageCount = 0;
     std::chrono::milliseconds m_delay{};
     double m_appendTokens = 0;
     TimePoint m_lastRefill{};
