--- a/packages/emulator/src/loadcommand.cpp
+++ b/packages/emulator/src/loadcommand.cpp
@@ -17,6 +17,7 @@
     std::string swingPeriod = "400ms";
     std::string deadline = "1s";
     std::string jsonFile;
+    std::string samplesFile;
 };
 
 LoadParameters parametersOf(const LoadOptions &options)
@@ -45,6 +46,8 @@
     std::cout << toTable(report);
     if (!options.jsonFile.empty())
         std::ofstream(options.jsonFile) << toJson(report) << '\n';
+    if (!options.samplesFile.empty())
+        std::ofstream(options.samplesFile) << samplesJson(report) << '\n';
     return 0;
 }
 
@@ -100,6 +103,7 @@
     command.add_option("--max-in-flight", parameters.maxInFlight, "Fail above this many calls")
         ->capture_default_str();
     command.add_option("--json", options.jsonFile, "File for the results as JSON");
+    command.add_option("--samples", options.samplesFile, "File for all latencies as JSON");
     command.add_option("--record", parameters.recordFile, "File for one JSON line an action");
 }
 
--- a/packages/emulator/src/runreport.cpp
+++ b/packages/emulator/src/runreport.cpp
@@ -116,6 +116,12 @@
         .dump();
 }
 
+std::string samplesJson(const RunReport &report)
+{
+    return Json{{"lookups", report.lookups.latencies}, {"actions", report.actions.latencies}}
+        .dump();
+}
+
 std::string toTable(const RunReport &report)
 {
     std::string table = fmt::format("{:<8} {:>8} {:>8} {:>9} {:>9} {:>9}", "class", "calls",
--- a/packages/emulator/src/runreport.h
+++ b/packages/emulator/src/runreport.h
@@ -61,6 +61,8 @@
 /// Sorts the samples; call before toJson() and toTable().
 void sortSamples(RunReport &report);
 std::string toJson(const RunReport &report);
+/// All latencies in milliseconds, so that several runs can be put together.
+std::string samplesJson(const RunReport &report);
 std::string toTable(const RunReport &report);
 
 } // namespace apricotrock::emulator
