--- a/scripts/testbed.py
+++ b/scripts/testbed.py
@@ -71,7 +71,7 @@
         self.log = folder / f"{name}.log"
         with open(self.log, "wb") as log:
             self.popen = subprocess.Popen([str(a) for a in arguments], stdout=log, stderr=log,
-                                          stdin=subprocess.DEVNULL)
+                                          stdin=subprocess.DEVNULL, start_new_session=True)
         self.pid = self.popen.pid
 
     def is_running(self):
