--- a/packages/emulator/src/backendfaults.cpp
+++ b/packages/emulator/src/backendfaults.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t oversizedBytes = 64 * 1024 * 1024;
+constexpr std::size_t oversizedBytes = 64UL * 1024 * 1024;
 constexpr std::uint64_t defaultDownTime = 1000;
 constexpr std::uint64_t percent = 100;
 
--- a/packages/emulator/src/httpfan.cpp
+++ b/packages/emulator/src/httpfan.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t maxBodyBytes = 16 * 1024 * 1024;
+constexpr std::size_t maxBodyBytes = 16UL * 1024 * 1024;
 constexpr long maxPooledConnections = 1024;
 /// libcurl waits in whole milliseconds; shorter waits are spent polling.
 constexpr std::chrono::milliseconds shortestWait{2};
--- a/packages/emulator/src/platformservice.cpp
+++ b/packages/emulator/src/platformservice.cpp
@@ -14,7 +14,7 @@
 using Json = nlohmann::json;
 
 constexpr std::uint64_t defaultMaxRecords = 100;
-constexpr std::uint64_t maxReadBytes = 8 * 1024 * 1024;
+constexpr std::uint64_t maxReadBytes = 8UL * 1024 * 1024;
 constexpr std::chrono::milliseconds maxOutage = std::chrono::hours(24 * 365);
 constexpr std::string_view streamsPrefix = "/streams/";
 constexpr std::string_view recordsSuffix = "/records";
--- a/packages/platform/src/client.cpp
+++ b/packages/platform/src/client.cpp
@@ -11,9 +11,9 @@
 constexpr int statusCreated = 201;
 constexpr int statusServiceUnavailable = 503;
 constexpr int firstServerError = 500;
-constexpr std::size_t maxAppendAnswerBytes = 64 * 1024;
-constexpr std::size_t maxListBytes = 4 * 1024 * 1024;
-constexpr std::size_t maxReadBytes = 64 * 1024 * 1024;
+constexpr std::size_t maxAppendAnswerBytes = 64UL * 1024;
+constexpr std::size_t maxListBytes = 4UL * 1024 * 1024;
+constexpr std::size_t maxReadBytes = 64UL * 1024 * 1024;
 
 tl::unexpected<PlatformError> failure(PlatformFailure kind, std::string message)
 {
