--- a/packages/caller/include/apricotrock/caller.h
+++ b/packages/caller/include/apricotrock/caller.h
@@ -44,6 +44,10 @@
 };
 
 /// HTTP/1.1 listener (RESTinio).
+///
+/// Requests on one connection are handed on one after the other, in their order. Malformed and
+/// oversized requests are answered here and are not handed on. A connection that the caller closes
+/// in either direction counts as gone.
 class Listener
 {
 public:
@@ -56,6 +60,10 @@
     Result<void> start();
     /// Thread safe. \a closeConnection adds `Connection: close`.
     void answer(RequestId id, const HttpResponse &response, bool closeConnection);
+    /// The same without a copy of the body. Each header in \a extraHeaders replaces the headers of
+    /// the response with its name.
+    void answer(RequestId id, std::shared_ptr<const HttpResponse> response,
+                const HttpHeaders &extraHeaders, bool closeConnection);
     [[nodiscard]] Counters counters() const;
     /// Stops accepting connections and ends the threads; unanswered requests are dropped.
     void stop();
--- a/packages/http/include/apricotrock/http.h
+++ b/packages/http/include/apricotrock/http.h
@@ -63,6 +63,8 @@
 bool equalsIgnoringCase(std::string_view a, std::string_view b);
 /// Returns true for headers that belong to one connection only.
 bool isHopByHopHeader(std::string_view name);
+/// Removes hop-by-hop headers, those named by a Connection header included.
+void removeHopByHopHeaders(HttpHeaders &headers);
 /// Returns true for GET and HEAD, which this system treats as idempotent lookups.
 bool isLookupMethod(std::string_view method);
 /// Reads `outstanding=N, queued=N, slots=N`; nothing if it is malformed.
