--- a/packages/caller/include/apricotrock/caller.h
+++ b/packages/caller/include/apricotrock/caller.h
@@ -62,7 +62,7 @@
     void answer(RequestId id, const HttpResponse &response, bool closeConnection);
     /// The same without a copy of the body. Each header in \a extraHeaders replaces the headers of
     /// the response with its name.
-    void answer(RequestId id, std::shared_ptr<const HttpResponse> response,
+    void answer(RequestId id, const std::shared_ptr<const HttpResponse> &response,
                 const HttpHeaders &extraHeaders, bool closeConnection);
     [[nodiscard]] Counters counters() const;
     /// Stops accepting connections and ends the threads; unanswered requests are dropped.
--- a/packages/caller/src/listener.cpp
+++ b/packages/caller/src/listener.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t pipelinedRequests = 2;
 /// RESTinio closes the connection of a larger body; between the limit and this one the whole body
 /// is read, so that the answer reaches the caller.
-constexpr std::size_t bodySlackBytes = 1024 * 1024;
+constexpr std::size_t bodySlackBytes = std::size_t(1024) * 1024;
 constexpr std::size_t maxHeaderFields = 256;
 
 /// Receives what RESTinio reports; the only use is to answer requests that its parser refused.
@@ -51,6 +51,8 @@
         : m_callback(std::move(callback))
     { }
 
+    // The name is given by RESTinio.
+    // NOLINTNEXTLINE(readability-identifier-naming)
     void state_changed(const restinio::connection_state::notice_t &notice) noexcept
     {
         const bool isClosed =
@@ -121,7 +123,7 @@
     void onParserError(const std::string &text);
     void onRequest(const restinio::request_handle_t &handle);
     void refuse(const restinio::request_handle_t &handle, ErrorKind kind);
-    void write(const Exchange &exchange, std::shared_ptr<const HttpResponse> response,
+    void write(const Exchange &exchange, const std::shared_ptr<const HttpResponse> &response,
                const HttpHeaders &extraHeaders, bool closeConnection);
     std::unique_ptr<Server> makeServer();
 
@@ -189,7 +191,7 @@
 }
 
 void Listener::Private::write(const Exchange &exchange,
-                              std::shared_ptr<const HttpResponse> response,
+                              const std::shared_ptr<const HttpResponse> &response,
                               const HttpHeaders &extraHeaders, bool closeConnection)
 {
     const bool keepsConnection = exchange.handle->header().should_keep_alive() && !closeConnection;
@@ -233,7 +235,7 @@
         .read_next_http_message_timelimit(parameters.idleTimeout)
         .write_http_response_timelimit(parameters.answerTimeout)
         .handle_request_timeout(parameters.answerTimeout)
-        .request_handler([this](restinio::request_handle_t handle) {
+        .request_handler([this](const restinio::request_handle_t &handle) {
             if (table.takeTurn(handle))
                 onRequest(handle);
             return restinio::request_accepted();
@@ -270,7 +272,7 @@
     answer(id, std::make_shared<const HttpResponse>(response), {}, closeConnection);
 }
 
-void Listener::answer(RequestId id, std::shared_ptr<const HttpResponse> response,
+void Listener::answer(RequestId id, const std::shared_ptr<const HttpResponse> &response,
                       const HttpHeaders &extraHeaders, bool closeConnection)
 {
     const auto exchange = m_private->table.take(id);
@@ -279,7 +281,7 @@
         return;
     }
     ++m_private->answers;
-    m_private->write(*exchange, std::move(response), extraHeaders, closeConnection);
+    m_private->write(*exchange, response, extraHeaders, closeConnection);
 }
 
 Counters Listener::counters() const
