--- a/packages/backend/src/sender.cpp
+++ b/packages/backend/src/sender.cpp
@@ -49,6 +49,20 @@
     return report ? parseLoadReport(*report) : std::nullopt;
 }
 
+/// Removes what only this system may tell callers, and what is meant for this system.
+void removeSystemHeaders(HttpHeaders &headers)
+{
+    std::erase_if(headers, [](const HttpHeader &header) {
+        for (const std::string_view name :
+             {headername::requestOutcome, headername::errorKind, headername::servedBy,
+              headername::backendServer, headername::loadReport, headername::serverState}) {
+            if (equalsIgnoringCase(header.name, name))
+                return true;
+        }
+        return false;
+    });
+}
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -200,13 +214,14 @@
         callbacks.onAttemptFinished(result, nullptr);
         return;
     }
-    auto response = std::make_shared<const HttpResponse>(transfer.reader().takeResponse());
-    result.httpStatus = response->status;
-    result.load = loadReport(*response);
-    result.isDraining = isDraining(*response);
-    if (isShed(*response))
+    HttpResponse response = transfer.reader().takeResponse();
+    result.httpStatus = response.status;
+    result.load = loadReport(response);
+    result.isDraining = isDraining(response);
+    if (isShed(response))
         result.status = routing::AttemptStatus::Shed;
-    callbacks.onAttemptFinished(result, std::move(response));
+    removeSystemHeaders(response.headers);
+    callbacks.onAttemptFinished(result, std::make_shared<const HttpResponse>(std::move(response)));
 }
 
 void Sender::Private::finishProbe(Transfer &transfer, const routing::ProbeStart &order,
--- a/packages/caller/include/apricotrock/caller.h
+++ b/packages/caller/include/apricotrock/caller.h
@@ -65,6 +65,8 @@
     void answer(RequestId id, const std::shared_ptr<const HttpResponse> &response,
                 const HttpHeaders &extraHeaders, bool closeConnection);
     [[nodiscard]] Counters counters() const;
+    /// Waits until every answer was written, at most until \a deadline.
+    void waitForAnswers(TimePoint deadline) const;
     /// Stops accepting connections and ends the threads; unanswered requests are dropped.
     void stop();
 
--- a/packages/caller/src/exchangetable.h
+++ b/packages/caller/src/exchangetable.h
@@ -4,6 +4,7 @@
 
 #include "rejectingsocket.h"
 
+#include <algorithm>
 #include <unordered_map>
 
 namespace apricotrock::caller {
@@ -109,6 +110,13 @@
         return found != m_connections.end() && found->second.isBusy;
     }
 
+    [[nodiscard]] bool hasBusyConnections() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::any_of(m_connections.begin(), m_connections.end(),
+                           [](const auto &entry) { return entry.second.isBusy; });
+    }
+
     [[nodiscard]] std::size_t openConnections() const
     {
         const std::lock_guard lock(m_mutex);
--- a/packages/caller/src/listener.cpp
+++ b/packages/caller/src/listener.cpp
@@ -122,7 +122,7 @@
     void onConnection(ConnectionId id, bool isOpen);
     void onParserError(const std::string &text);
     void onRequest(const restinio::request_handle_t &handle);
-    void refuse(const restinio::request_handle_t &handle, ErrorKind kind);
+    void refuse(const restinio::request_handle_t &handle, ErrorKind kind, Outcome outcome);
     void write(const Exchange &exchange, const std::shared_ptr<const HttpResponse> &response,
                const HttpHeaders &extraHeaders, bool closeConnection);
     std::unique_ptr<Server> makeServer();
@@ -160,7 +160,8 @@
     if (table.isBusy(*connection))
         return;
     const ErrorKind kind = parserErrorKind(text);
-    const HttpResponse response = errorResponse(kind, errorInfo(kind).outcome);
+    // Whether the request carried a key is not known, and another copy of the key may have run.
+    const HttpResponse response = errorResponse(kind, Outcome::Unknown);
     pendingRejection() = formatResponseHead(response, {}, {false, false}) + response.body;
 }
 
@@ -171,7 +172,7 @@
     incoming.request = makeRequest(*handle);
     if (const auto kind = checkRequest(incoming.request, parameters)) {
         ++malformedRequests;
-        refuse(handle, *kind);
+        refuse(handle, *kind, refusalOutcome(*kind, incoming.request));
         return;
     }
     removeHopByHopHeaders(incoming.request.headers);
@@ -182,12 +183,12 @@
         callbacks.onRequest(std::move(incoming));
 }
 
-void Listener::Private::refuse(const restinio::request_handle_t &handle, ErrorKind kind)
+void Listener::Private::refuse(const restinio::request_handle_t &handle, ErrorKind kind,
+                               Outcome outcome)
 {
     const bool isHead = handle->header().method() == restinio::http_method_head();
     write({handle, handle->connection_id(), isHead},
-          std::make_shared<const HttpResponse>(errorResponse(kind, errorInfo(kind).outcome)), {},
-          true);
+          std::make_shared<const HttpResponse>(errorResponse(kind, outcome)), {}, true);
 }
 
 void Listener::Private::write(const Exchange &exchange,
@@ -295,6 +296,13 @@
     return counters;
 }
 
+void Listener::waitForAnswers(TimePoint deadline) const
+{
+    constexpr std::chrono::milliseconds checkInterval{5};
+    while (m_private->table.hasBusyConnections() && Clock::now() < deadline)
+        std::this_thread::sleep_for(checkInterval);
+}
+
 void Listener::stop()
 {
     m_private->context.stop();
--- a/packages/caller/src/requestcheck.cpp
+++ b/packages/caller/src/requestcheck.cpp
@@ -58,4 +58,11 @@
     return std::nullopt;
 }
 
+Outcome refusalOutcome(ErrorKind kind, const HttpRequest &request)
+{
+    const bool hasKey =
+        !isLookupMethod(request.method) && findHeader(request.headers, headername::idempotencyKey);
+    return hasKey ? Outcome::Unknown : errorInfo(kind).outcome;
+}
+
 } // namespace apricotrock::caller
