--- a/packages/routing/src/attempts.cpp
+++ b/packages/routing/src/attempts.cpp
@@ -23,7 +23,8 @@
 TimePoint attemptDeadline(const RequestState &request, TimePoint now)
 {
     const TimePoint deadline = request.request.deadline;
-    const bool isLast = request.attempts >= request.service->policy.maxAttempts;
+    const bool isLast = request.attempts >= request.service->policy.maxAttempts
+        || !hasToken(request.service->retryBudget);
     if (request.request.requestClass == RequestClass::Action || isLast)
         return deadline;
     const Duration typical = request.service->latencies.quantile(typicalQuantile);
@@ -102,7 +103,7 @@
         const AttemptState attempt = state.attempts.at(id);
         state.attempts.erase(id);
         release(*request.service, attempt);
-        learnCancelled(*request.service, attempt, now);
+        learnCancelled(state, *request.service, attempt, now);
         output.cancels.push_back(id);
     }
     request.running.clear();
--- a/packages/routing/src/budget.cpp
+++ b/packages/routing/src/budget.cpp
@@ -21,9 +21,14 @@
     budget.tokens = std::min(budget.tokens + share, burst);
 }
 
+bool hasToken(const ShareBudget &budget)
+{
+    return budget.tokens >= 1 - roundingSlack;
+}
+
 bool withdraw(ShareBudget &budget)
 {
-    if (budget.tokens < 1 - roundingSlack)
+    if (!hasToken(budget))
         return false;
     budget.tokens -= 1;
     return true;
--- a/packages/routing/src/budget.h
+++ b/packages/routing/src/budget.h
@@ -14,6 +14,7 @@
 /// Credits one request. The tokens kept are bounded, so that a long calm time does not pay for a
 /// storm of retries.
 void deposit(ShareBudget &budget, double share);
+bool hasToken(const ShareBudget &budget);
 /// Takes one token; returns false if there is none.
 bool withdraw(ShareBudget &budget);
 
--- a/packages/routing/src/estimate.cpp
+++ b/packages/routing/src/estimate.cpp
@@ -11,9 +11,10 @@
 
 /// Weight of one report in the usual load.
 constexpr double usualWeight = 0.1;
-/// Service time assumed while none is known. Only ratios matter.
-constexpr Seconds assumedServiceTime{0.005};
-/// Expected latency grows by this factor when every recent attempt failed, so that fast failures
+/// Local attempts are certain and current, the load of others is a guess. Counting them twice gave
+/// the lowest tail latency in bench/estimatebench.cpp.
+constexpr double localWeight = 2;
+/// The score grows by this factor when every recent attempt failed, so that fast failures
 /// don't look like a fast backend server.
 constexpr double failurePenalty = 20;
 
@@ -47,7 +48,11 @@
     if (!load.isKnown)
         return 0;
     const Seconds age = std::max(Duration::zero(), now - load.measured);
-    const double trust = std::exp2(-age / Seconds(policy.reportHalfLife));
+    // The requests that a report counted have ended after about one service time.
+    Seconds halfLife = policy.reportHalfLife;
+    if (endpoint.serviceTime.samples > 0)
+        halfLife = std::min(halfLife, endpoint.serviceTime.average);
+    const double trust = std::exp2(-age / halfLife);
     return load.usualOthers + (load.others - load.usualOthers) * trust;
 }
 
@@ -56,14 +61,13 @@
     return static_cast<double>(endpoint.outstanding) + othersLoad(endpoint, policy, now);
 }
 
-Seconds expectedLatency(const EndpointState &endpoint, const Policy &policy, TimePoint now)
+double loadScore(const EndpointState &endpoint, const Policy &policy, TimePoint now)
 {
-    const Seconds service =
-        endpoint.serviceTime.samples > 0 ? endpoint.serviceTime.average : assumedServiceTime;
-    const auto slots = std::max(1.0, endpoint.limit.value);
-    const double load = estimatedLoad(endpoint, policy, now);
+    const double load =
+        localWeight * static_cast<double>(endpoint.outstanding) + othersLoad(endpoint, policy, now);
+    const double slots = std::max(1.0, endpoint.limit.value);
     const double failures = 1 + failurePenalty * endpoint.outlier.failureShare;
-    return service * ((load + 1) / slots) * failures;
+    return (load + 1) / slots * endpoint.slowness * failures;
 }
 
 } // namespace apricotrock::routing
--- a/packages/routing/src/estimate.h
+++ b/packages/routing/src/estimate.h
@@ -33,7 +33,7 @@
 double othersLoad(const EndpointState &endpoint, const Policy &policy, TimePoint now);
 /// Returns all requests expected on the backend server now.
 double estimatedLoad(const EndpointState &endpoint, const Policy &policy, TimePoint now);
-/// Returns the expected latency of one more request; lower is better.
-Seconds expectedLatency(const EndpointState &endpoint, const Policy &policy, TimePoint now);
+/// Rates a backend server for one more request; lower is better.
+double loadScore(const EndpointState &endpoint, const Policy &policy, TimePoint now);
 
 } // namespace apricotrock::routing
--- a/packages/routing/src/hints.cpp
+++ b/packages/routing/src/hints.cpp
@@ -63,6 +63,7 @@
     std::sort(told.begin(), told.end(), isToldFirst);
     told.resize(std::min(told.size(), limit));
     std::vector<LoadHint> hints;
+    hints.reserve(told.size());
     for (const EndpointState *endpoint : told) {
         hints.push_back({endpoint->server.name, endpoint->load.report, now - tellTime(*endpoint),
                          endpoint->isLeaving});
--- a/packages/routing/src/latency.cpp
+++ b/packages/routing/src/latency.cpp
@@ -6,14 +6,16 @@
 
 namespace {
 
-/// Weight of one attempt in the average service time; about the last ten attempts count.
-constexpr double averageWeight = 0.1;
+constexpr double averageWeight = 0.05;
+/// Higher, so that four slow attempts in a row show a straggler.
+constexpr double recentWeight = 0.2;
 
 void learn(ServiceTime &time, Seconds sample)
 {
     ++time.samples;
-    const double weight = std::max(averageWeight, 1.0 / static_cast<double>(time.samples));
-    time.average += weight * (sample - time.average);
+    const double firstWeight = 1.0 / static_cast<double>(time.samples);
+    time.average += std::max(averageWeight, firstWeight) * (sample - time.average);
+    time.recent += std::max(recentWeight, firstWeight) * (sample - time.recent);
 }
 
 } // namespace
--- a/packages/routing/src/latency.h
+++ b/packages/routing/src/latency.h
@@ -34,6 +34,8 @@
 {
     /// Average without the time spent in the backend server's queue; zero if not known.
     Seconds average{};
+    /// As the average, over about the last five attempts.
+    Seconds recent{};
     std::uint64_t samples = 0;
 };
 
--- a/packages/routing/src/learning.cpp
+++ b/packages/routing/src/learning.cpp
@@ -8,6 +8,19 @@
 
 constexpr double shedWeight = 1.0 / 16;
 
+constexpr double usualWeight = 0.02;
+/// Backend servers that differ less count as equally fast; the averages are noisy.
+constexpr double equalRatio = 1.5;
+
+void learnSlowness(ServiceState &service, EndpointState &endpoint)
+{
+    const Seconds average = endpoint.serviceTime.average;
+    Seconds &usual = service.usualServiceTime;
+    usual += (usual == Seconds::zero() ? 1 : usualWeight) * (average - usual);
+    const double ratio = average / usual;
+    endpoint.slowness = ratio > equalRatio || ratio * equalRatio < 1 ? ratio : 1;
+}
+
 bool isFailure(const AttemptResult &result)
 {
     // A refusal is a sign of load, not of a fault.
@@ -23,11 +36,11 @@
     const double queued = result.load ? result.load->queued : 0;
     learnServiceTime(endpoint.serviceTime, latency,
                      queued / static_cast<double>(endpoint.server.slots));
+    learnSlowness(service, endpoint);
     learnLatency(endpoint.limit, latency, attempt.concurrency, endpoint.server.slots);
     learnSuccess(endpoint);
     service.latencies.add(latency);
-    if (service.policy.algorithm == PolicyAlgorithm::Adaptive)
-        ejectStraggler(state, service, endpoint, now);
+    ejectStraggler(state, service, endpoint, now);
 }
 
 } // namespace
@@ -63,10 +76,11 @@
     }
 }
 
-void learnCancelled(ServiceState &service, const AttemptState &attempt, TimePoint now)
+void learnCancelled(State &state, ServiceState &service, const AttemptState &attempt, TimePoint now)
 {
     const Duration elapsed = now - attempt.start;
     learnLowerBound(attempt.endpoint->serviceTime, elapsed);
+    ejectStraggler(state, service, *attempt.endpoint, now);
     // Without this, hedged slow attempts would be missing and the hedge delay would shrink.
     if (elapsed > service.latencies.quantile(0.5))
         service.latencies.add(elapsed);
--- a/packages/routing/src/learning.h
+++ b/packages/routing/src/learning.h
@@ -8,6 +8,7 @@
 void learnResult(State &state, ServiceState &service, const AttemptState &attempt,
                  const AttemptResult &result, TimePoint now, Output &output);
 /// Learns from an attempt that this instance cancelled: its latency is at least the time it ran.
-void learnCancelled(ServiceState &service, const AttemptState &attempt, TimePoint now);
+void learnCancelled(State &state, ServiceState &service, const AttemptState &attempt,
+                    TimePoint now);
 
 } // namespace apricotrock::routing
--- a/packages/routing/src/outlier.cpp
+++ b/packages/routing/src/outlier.cpp
@@ -12,7 +12,9 @@
 /// A backend server that is slower than the median of the others by this factor is a straggler.
 /// Below that, the load estimate gives it less work, which uses its capacity better.
 constexpr double stragglerRatio = 3;
+/// Attempts that show a straggler; after an ejection one is enough.
 constexpr std::uint64_t stragglerSamples = 5;
+constexpr std::uint64_t returnedSamples = 1;
 constexpr std::uint64_t longestEjectionFactor = 16;
 
 bool isCapReached(const ServiceState &service)
@@ -27,7 +29,8 @@
 void eject(State &state, ServiceState &service, EndpointState &endpoint, TimePoint now)
 {
     OutlierState &outlier = endpoint.outlier;
-    if (outlier.isEjected || !endpoint.isConfigured)
+    const bool isPlain = service.policy.algorithm != PolicyAlgorithm::Adaptive;
+    if (isPlain || outlier.isEjected || !endpoint.isConfigured)
         return;
     if (isCapReached(service)) {
         count(state, Counter::EjectionDeniedByCap);
@@ -66,7 +69,6 @@
     OutlierState &outlier = endpoint.outlier;
     outlier.failuresInRow = 0;
     outlier.failureShare -= failureWeight * outlier.failureShare;
-    ++outlier.attempts;
 }
 
 void learnFailure(State &state, ServiceState &service, EndpointState &endpoint, TimePoint now)
@@ -74,18 +76,21 @@
     OutlierState &outlier = endpoint.outlier;
     ++outlier.failuresInRow;
     outlier.failureShare += failureWeight * (1 - outlier.failureShare);
-    ++outlier.attempts;
     if (outlier.failuresInRow >= service.policy.ejectionFailures)
         eject(state, service, endpoint, now);
 }
 
 void ejectStraggler(State &state, ServiceState &service, EndpointState &endpoint, TimePoint now)
 {
-    if (endpoint.outlier.isEjected || endpoint.outlier.attempts < stragglerSamples)
+    const std::uint64_t needed =
+        endpoint.outlier.ejections > 0 ? returnedSamples : stragglerSamples;
+    if (endpoint.outlier.isEjected || endpoint.serviceTime.samples < needed)
         return;
     const Seconds median = medianOfOthers(service, endpoint);
-    if (median > Seconds::zero() && endpoint.serviceTime.average > stragglerRatio * median)
-        eject(state, service, endpoint, now);
+    if (median <= Seconds::zero() || endpoint.serviceTime.recent <= stragglerRatio * median)
+        return;
+    eject(state, service, endpoint, now);
+    endpoint.outlier.isSlow = endpoint.outlier.isEjected;
 }
 
 void returnEndpoint(State &state, EndpointState &endpoint, TimePoint now)
@@ -93,7 +98,9 @@
     OutlierState &outlier = endpoint.outlier;
     outlier.isEjected = false;
     outlier.returned = now;
-    outlier.attempts = 0;
+    outlier.isSlow = false;
+    // The next answer replaces the average from before the ejection.
+    endpoint.serviceTime.samples = 0;
     if (outlier.failuresInRow > 0)
         --outlier.failuresInRow;
     endpoint.slowStartBegin = now;
--- a/packages/routing/src/outlier.h
+++ b/packages/routing/src/outlier.h
@@ -15,12 +15,12 @@
     /// Share of about the last ten attempts that failed.
     double failureShare = 0;
     bool isEjected = false;
+    /// Ejected for slowness, not for failures: still better than waiting.
+    bool isSlow = false;
     TimePoint until;
     /// Ejections without a long healthy time between them; sets the length of the next one.
     std::uint64_t ejections = 0;
     TimePoint returned;
-    /// Attempts since the backend server joined or returned.
-    std::uint64_t attempts = 0;
 };
 
 void learnSuccess(EndpointState &endpoint);
@@ -28,7 +28,8 @@
 void learnFailure(State &state, ServiceState &service, EndpointState &endpoint, TimePoint now);
 /// Ejects the backend server if it is much slower than the others of its service.
 void ejectStraggler(State &state, ServiceState &service, EndpointState &endpoint, TimePoint now);
-/// Ends an ejection; the backend server starts slowly and is ejected again at its first failure.
+/// Ends an ejection; the backend server starts slowly and is ejected again after its first
+/// failure or slow answer.
 void returnEndpoint(State &state, EndpointState &endpoint, TimePoint now);
 
 } // namespace apricotrock::routing
--- a/packages/routing/src/requests.cpp
+++ b/packages/routing/src/requests.cpp
@@ -126,6 +126,8 @@
     const auto found = state.services.find(request.service);
     if (found == state.services.end())
         return refuse(ErrorKind::UnknownService);
+    if (state.requests.contains(request.id))
+        return; // Submitted twice; the first one gets the only end.
     if (request.deadline <= now)
         return refuse(ErrorKind::DeadlineExpired);
     ServiceState &service = *found->second;
--- a/packages/routing/src/selection.cpp
+++ b/packages/routing/src/selection.cpp
@@ -60,38 +60,59 @@
     return std::find(request.tried.begin(), request.tried.end(), endpoint) != request.tried.end();
 }
 
+/// Which ejected backend servers may be chosen.
+enum class Ejected { None, Slow, All };
+
+bool isAllowed(const EndpointState &endpoint, Ejected ejected)
+{
+    if (!endpoint.outlier.isEjected || ejected == Ejected::All)
+        return true;
+    return endpoint.outlier.isSlow && ejected == Ejected::Slow;
+}
+
 void addIfRoom(State &state, const RequestState &request, const EndpointPtr &endpoint,
-               bool withEjected, TimePoint now)
+               Ejected ejected, TimePoint now)
 {
-    if (!isUsable(*endpoint) || (endpoint->outlier.isEjected && !withEjected))
+    if (!isUsable(*endpoint) || !isAllowed(*endpoint, ejected))
         return;
     if (runsOn(state, request, endpoint) || !hasRoom(state, request, *endpoint, now))
         return;
     state.candidates.push_back(&endpoint);
 }
 
-/// Ejected backend servers are used only if no other may get work; full ones are waited for.
-bool needsEjected(const ServiceState &service)
+void addAll(State &state, const RequestState &request, Ejected ejected, TimePoint now)
+{
+    for (const EndpointPtr &endpoint : request.service->endpoints)
+        addIfRoom(state, request, endpoint, ejected, now);
+}
+
+void addSample(State &state, const RequestState &request, TimePoint now)
+{
+    const auto &endpoints = request.service->endpoints;
+    for (std::size_t i = 0; i < scanLimit; ++i)
+        addIfRoom(state, request, endpoints[randomIndex(state.random, endpoints.size())],
+                  Ejected::None, now);
+}
+
+/// Returns true if every backend server that may get work is ejected.
+bool isOnlyEjectedLeft(const ServiceState &service)
 {
     return std::none_of(service.endpoints.begin(), service.endpoints.end(),
                         [](const EndpointPtr &e) { return isUsable(*e) && !e->outlier.isEjected; });
 }
 
+/// Slow backend servers are better than waiting; failing ones only better than none at all.
 void collectCandidates(State &state, const RequestState &request, TimePoint now)
 {
-    const auto &endpoints = request.service->endpoints;
     state.candidates.clear();
-    if (endpoints.size() > scanLimit) {
-        for (std::size_t i = 0; i < scanLimit; ++i) {
-            const std::size_t index = randomIndex(state.random, endpoints.size());
-            addIfRoom(state, request, endpoints[index], false, now);
-        }
-    }
-    if (!state.candidates.empty())
-        return;
-    const bool withEjected = needsEjected(*request.service);
-    for (const EndpointPtr &endpoint : endpoints)
-        addIfRoom(state, request, endpoint, withEjected, now);
+    if (request.service->endpoints.size() > scanLimit)
+        addSample(state, request, now);
+    if (state.candidates.empty())
+        addAll(state, request, Ejected::None, now);
+    if (state.candidates.empty() && request.running.empty())
+        addAll(state, request, Ejected::Slow, now);
+    if (state.candidates.empty() && isOnlyEjectedLeft(*request.service))
+        addAll(state, request, Ejected::All, now);
 }
 
 /// Keeps only the candidates that \a condition accepts, if there are any.
@@ -141,10 +162,10 @@
     const Policy &policy = request.service->policy;
     preferZone(state, policy, now);
     const EndpointPtr *best = nullptr;
-    Seconds bestScore{};
+    double bestScore = 0;
     for (std::size_t i = 0; i < state.tuning.draws && !state.candidates.empty(); ++i) {
         const EndpointPtr *drawn = drawCandidate(state, policy, now);
-        const Seconds score = state.tuning.score(**drawn, policy, now);
+        const double score = state.tuning.score(**drawn, policy, now);
         if (best == nullptr || score < bestScore) {
             best = drawn;
             bestScore = score;
--- a/packages/routing/src/state.h
+++ b/packages/routing/src/state.h
@@ -50,6 +50,8 @@
     TimePoint lastHeard;
     LoadKnowledge load;
     ServiceTime serviceTime;
+    /// Service time compared to the usual one of the service; 1 if it hardly differs.
+    double slowness = 1;
     ConcurrencyLimit limit;
     OutlierState outlier;
     ProbeState probe;
@@ -64,6 +66,8 @@
     std::vector<EndpointPtr> endpoints;
     WaitingQueue queue;
     LatencyWindow latencies;
+    /// Average service time of all backend servers; zero if not known.
+    Seconds usualServiceTime{};
     ShareBudget retryBudget;
     ShareBudget hedgeBudget;
     /// Share of about the last 16 attempts that were shed.
@@ -103,14 +107,14 @@
 };
 
 /// Rates a backend server for one more request; lower is better.
-using ScoreFunction = Seconds (*)(const EndpointState &, const Policy &, TimePoint);
+using ScoreFunction = double (*)(const EndpointState &, const Policy &, TimePoint);
 
 /// Constants of the adaptive algorithm that bench/estimatebench.cpp compares.
 struct Tuning
 {
-    ScoreFunction score = expectedLatency;
+    ScoreFunction score = loadScore;
     /// Candidates drawn for one choice.
-    std::size_t draws = 3;
+    std::size_t draws = 4;
     /// Estimated load per slot up to which requests are sent; above, they wait in the instance.
     double loadGate = 2;
 };
--- a/packages/routing/src/time.cpp
+++ b/packages/routing/src/time.cpp
@@ -51,6 +51,7 @@
     for (const auto &[name, endpoint] : state.endpoints) {
         endpoint->load = {};
         endpoint->serviceTime = {};
+        endpoint->slowness = 1;
         endpoint->limit = {};
         endpoint->limit.value = static_cast<double>(endpoint->server.slots);
         endpoint->outlier = {};
@@ -58,6 +59,7 @@
     }
     for (const auto &[name, service] : state.services) {
         service->latencies = {};
+        service->usualServiceTime = {};
         service->shedShare = 0;
         service->drainInterval = {};
         service->lastDrain.reset();
