--- a/packages/engine/src/execution.cpp
+++ b/packages/engine/src/execution.cpp
@@ -70,6 +70,8 @@
         return failExecution(context, id, ErrorKind::BackendAnswerInvalid);
     const auto response = answer->second;
     const Execution execution = takeExecution(state, id);
+    if (execution.isIsolated)
+        ledger::exonerate(state.quarantine, execution.fingerprint);
     if (!execution.key)
         return reply(context, id, doneAnswer(response));
     ledger::closeDone(state.ledger, *execution.key, response);
@@ -110,6 +112,8 @@
     execution.service = waiter.service;
     execution.fingerprint = waiter.fingerprint;
     execution.key = key;
+    execution.isIsolated = ledger::isSuspect(state.quarantine, waiter.fingerprint);
+    const bool isIsolated = execution.isIsolated;
     state.executions.emplace(waiter.id, std::move(execution));
     routing::Request request;
     request.id = waiter.id;
@@ -117,7 +121,7 @@
     request.requestClass = waiter.requestClass;
     request.caller = waiter.caller;
     request.deadline = deadline;
-    request.isIsolated = ledger::isSuspect(state.quarantine, waiter.fingerprint);
+    request.isIsolated = isIsolated;
     routing::Output output;
     routing::submitRequest(*state.routing, request, context.now, output);
     applyOutput(context, output);
--- a/packages/engine/src/state.h
+++ b/packages/engine/src/state.h
@@ -40,6 +40,7 @@
     std::string service;
     std::uint64_t fingerprint = 0;
     std::optional<ledger::ScopedKey> key;
+    bool isIsolated = false;
     unsigned startedAttempts = 0;
     /// Ended attempts with proof that the backend server ran nothing.
     unsigned provenNotRun = 0;
--- a/packages/ledger/include/apricotrock/ledger.h
+++ b/packages/ledger/include/apricotrock/ledger.h
@@ -221,17 +221,24 @@
     std::map<CrashId, Crash> crashes;
     /// Fingerprints that isSuspect() reports; follows from \c crashes.
     std::set<std::uint64_t> suspects;
+    /// Suspects that were answered since their last crash while they ran alone. They need not run
+    /// alone any more, but their crashes still count.
+    std::set<std::uint64_t> exonerated;
     std::size_t maxCrashes = 4096;
 };
 
 /// Adds the suspicions of one crash or one record. \a isComplete as in Crash.
 void addSuspicions(Quarantine &quarantine,
                    const std::vector<const wire::CrashSuspicionT *> &suspicions, bool isComplete);
-/// Returns true if the fingerprint took part in a crash that has neither expired nor been cleared.
+/// Returns true if the fingerprint took part in a crash that has neither expired nor been cleared,
+/// and was not exonerated since.
 bool isSuspect(const Quarantine &quarantine, std::uint64_t fingerprint);
 /// Returns true after \a crashLimit crashes that have no other fingerprint in common.
 bool isQuarantined(const Quarantine &quarantine, std::uint64_t fingerprint,
                    std::uint64_t crashLimit);
+/// Ends the isolation of a suspect until its next crash. Without this a frequent request that ran
+/// beside a crash once would take whole backend servers until the suspicion expires.
+void exonerate(Quarantine &quarantine, std::uint64_t fingerprint);
 /// Returns true if something was cleared.
 bool clearQuarantine(Quarantine &quarantine, std::uint64_t fingerprint);
 void expireCrashes(Quarantine &quarantine, WallTime wallTime);
--- a/packages/ledger/src/quarantine.cpp
+++ b/packages/ledger/src/quarantine.cpp
@@ -20,6 +20,9 @@
                 quarantine.suspects.insert(fingerprint);
         }
     }
+    std::erase_if(quarantine.exonerated, [&quarantine](std::uint64_t fingerprint) {
+        return !quarantine.suspects.contains(fingerprint);
+    });
 }
 
 } // namespace
@@ -29,7 +32,8 @@
 {
     for (const wire::CrashSuspicionT *suspicion : suspicions) {
         Crash &crash = quarantine.crashes[{suspicion->backend_server, suspicion->expires_ms}];
-        crash.fingerprints.insert(suspicion->fingerprint);
+        if (crash.fingerprints.insert(suspicion->fingerprint).second)
+            quarantine.exonerated.erase(suspicion->fingerprint);
         crash.service = suspicion->service;
         crash.isComplete = crash.isComplete || isComplete || suspicion->alone;
     }
@@ -40,17 +44,19 @@
         quarantine.crashes.erase(
             std::min_element(quarantine.crashes.begin(), quarantine.crashes.end(), earlier));
     }
+    updateSuspects(quarantine);
 }
 
 bool isSuspect(const Quarantine &quarantine, std::uint64_t fingerprint)
 {
-    return quarantine.suspects.contains(fingerprint);
+    return quarantine.suspects.contains(fingerprint)
+        && !quarantine.exonerated.contains(fingerprint);
 }
 
 bool isQuarantined(const Quarantine &quarantine, std::uint64_t fingerprint,
                    std::uint64_t crashLimit)
 {
-    if (!isSuspect(quarantine, fingerprint))
+    if (!quarantine.suspects.contains(fingerprint))
         return false;
     std::uint64_t crashes = 0;
     std::set<std::uint64_t> common;
@@ -67,6 +73,12 @@
     return crashes >= crashLimit && common.size() == 1;
 }
 
+void exonerate(Quarantine &quarantine, std::uint64_t fingerprint)
+{
+    if (quarantine.suspects.contains(fingerprint))
+        quarantine.exonerated.insert(fingerprint);
+}
+
 bool clearQuarantine(Quarantine &quarantine, std::uint64_t fingerprint)
 {
     bool isCleared = false;
