--- a/packages/engine/src/execution.cpp
+++ b/packages/engine/src/execution.cpp
@@ -233,6 +233,9 @@
         answer = finalAnswer(*event.response, attempt.backendServer);
     const auto execution = state.executions.find(attempt.execution);
     if (execution != state.executions.end()) {
+        // Routing sends the retry after a lost connection alone.
+        if (event.result.status == routing::AttemptStatus::ConnectionLost)
+            execution->second.isIsolated = true;
         if (provesNotRun(event.result.status))
             ++execution->second.provenNotRun;
         if (answer)
--- a/packages/ledger/src/claims.cpp
+++ b/packages/ledger/src/claims.cpp
@@ -89,7 +89,9 @@
     const ScopedKey key = keyOf(*release.key, release.service_hash);
     Entry *entry = entryForRecord(ledger, key);
     // Only the holder of the claim may release it. Without a known claim its record has expired.
-    if (!entry || isClosed(entry->state) || (entry->winner && entry->winner != from))
+    // A running entry has not been released by this incarnation, which is its holder.
+    if (!entry || isClosed(entry->state) || entry->state == EntryState::Running
+        || (entry->winner && entry->winner != from))
         return false;
     entry->winner = from;
     entry->state = EntryState::NotRun;
