--- a/packages/daemon/src/configurationkeeper.cpp
+++ b/packages/daemon/src/configurationkeeper.cpp
@@ -34,7 +34,7 @@
 Result<bool> ConfigurationKeeper::adopt(const wire::SnapshotT &snapshot)
 {
     const std::lock_guard lock(m_mutex);
-    const auto result = adoptSnapshot(m_state, snapshot);
+    auto result = adoptSnapshot(m_state, snapshot);
     if (result)
         noteChange(*result);
     return result;
