--- /dev/null
+++ b/packages/ledger/src/claims.cpp
@@ -0,0 +1,101 @@
+#include "apricotrock/ledger.h"
+
+#include <algorithm>
+
+namespace apricotrock::ledger {
+
+namespace {
+
+/// Returns nothing for a key below the watermark: a copy that was evicted may have run. A key that
+/// finds no room is put below it, because its claim would be forgotten otherwise.
+Entry *entryForRecord(Ledger &ledger, const ScopedKey &key)
+{
+    if (Entry *entry = findEntry(ledger, key))
+        return entry;
+    if (!makeRoom(ledger))
+        ledger.watermark =
+            std::max(ledger.watermark, key.uuid.time() + std::chrono::milliseconds(1));
+    if (key.uuid.time() < ledger.watermark)
+        return nullptr;
+    Entry &entry = ledger.entries[key];
+    entry.state = EntryState::Foreign;
+    return &entry;
+}
+
+ClaimVerdict applyOwnClaim(const Ledger &ledger, Entry &entry)
+{
+    entry.winner = ledger.parameters.incarnation;
+    if (entry.state == EntryState::Claiming && !ledger.isSealed) {
+        entry.state = EntryState::Running;
+        return ClaimVerdict::Won;
+    }
+    entry.kind = ErrorKind::DeadlineExpired;
+    entry.state = EntryState::Releasing;
+    return ClaimVerdict::WonTooLate;
+}
+
+/// An earlier claim of a key that is too old may have expired from the log before it was read, so
+/// the first claim seen need not be the first one: it neither runs nor rules out a run.
+ClaimVerdict applyExpiredClaim(const Ledger &ledger, Entry &entry, IncarnationId from)
+{
+    const bool isOwn = from == ledger.parameters.incarnation;
+    if (!isOwn || (entry.state != EntryState::Claiming && entry.state != EntryState::GivenUp))
+        return ClaimVerdict::Ignored;
+    entry.state = EntryState::Unknown;
+    entry.kind = ErrorKind::KeyExpired;
+    return ClaimVerdict::Expired;
+}
+
+} // namespace
+
+ScopedKey keyOf(const wire::KeyId &key, std::uint64_t service)
+{
+    const IdempotencyKey parsed = wire::toKey(key);
+    return {parsed.uuid, parsed.owner, service};
+}
+
+bool isOwnLane(const Ledger &ledger, std::uint64_t service)
+{
+    return service % ledger.parameters.lanes == ledger.parameters.lane;
+}
+
+ClaimVerdict readClaim(Ledger &ledger, const wire::ClaimT &claim, IncarnationId from,
+                       WallTime wallTime)
+{
+    if (!claim.key || !isOwnLane(ledger, claim.service_hash))
+        return ClaimVerdict::Ignored;
+    const ScopedKey key = keyOf(*claim.key, claim.service_hash);
+    if (key.owner)
+        return ClaimVerdict::Ignored;
+    if (key.uuid.time() + ledger.parameters.keyMaxAge < wallTime) {
+        Entry *known = findEntry(ledger, key);
+        return known ? applyExpiredClaim(ledger, *known, from) : ClaimVerdict::Ignored;
+    }
+    Entry *entry = entryForRecord(ledger, key);
+    if (!entry || entry->winner)
+        return ClaimVerdict::Ignored;
+    if (from == ledger.parameters.incarnation)
+        return applyOwnClaim(ledger, *entry);
+    entry->winner = from;
+    entry->state = EntryState::Foreign;
+    entry->fingerprint = claim.fingerprint;
+    return ClaimVerdict::Lost;
+}
+
+bool readRelease(Ledger &ledger, const wire::ReleaseT &release, IncarnationId from)
+{
+    if (!release.key || !isOwnLane(ledger, release.service_hash))
+        return false;
+    const ScopedKey key = keyOf(*release.key, release.service_hash);
+    Entry *entry = entryForRecord(ledger, key);
+    // Only the holder of the claim may release it. Without a known claim its record has expired.
+    if (!entry || isClosed(entry->state) || (entry->winner && entry->winner != from))
+        return false;
+    entry->winner = from;
+    entry->state = EntryState::NotRun;
+    if (!entry->kind)
+        entry->kind = ErrorKind::DeadlineExpired;
+    return true;
+}
+
+} // namespace apricotrock::ledger
