Daemon: Put only the newest version in force at the start

An instance that starts reads the whole history of the configuration stream; applying each version would route by configurations that were replaced long ago. Leaving marks of the platform's list are told again after a pause and after a new version, because the engine forgets or has not known the backend server.

--- a/packages/daemon/src/configurationkeeper.cpp
+++ b/packages/daemon/src/configurationkeeper.cpp
@@ -23,7 +23,9 @@
     if (firstOffset || !m_isFirstKnown)
         m_firstOffset = firstOffset.value_or(offset);
     m_isFirstKnown = true;
-    noteChange(foldRecord(m_state, offset, record, m_firstOffset));
+    foldRecord(m_state, offset, record, m_firstOffset);
+    if (m_isCaughtUp)
+        putInForce();
     if (m_state.newestSnapshotOffset != m_snapshotOffset) {
         m_snapshotOffset = m_state.newestSnapshotOffset;
         m_snapshotSeen = now;
@@ -36,18 +38,22 @@
     const std::lock_guard lock(m_mutex);
     auto result = adoptSnapshot(m_state, snapshot);
     if (result)
-        noteChange(*result);
+        putInForce();
     return result;
 }
 
-void ConfigurationKeeper::noteChange(bool isChanged)
+void ConfigurationKeeper::catchUp()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isCaughtUp = true;
+    putInForce();
+}
+
+void ConfigurationKeeper::putInForce()
 {
-    // An empty log starts with version 0, which the fold does not report as a change.
-    const bool isFirst = m_state.current && !m_current;
-    if (!isChanged && !isFirst)
-        return;
     // Version 0 has no services; an instance is ready only with a published configuration.
-    if (m_state.current->version == 0)
+    const std::uint64_t known = m_current ? m_current->version : 0;
+    if (!m_state.current || m_state.current->version <= known)
         return;
     m_current = std::make_shared<const AcceptedConfiguration>(*m_state.current);
     m_since = wallNow();
--- a/packages/daemon/src/configurationkeeper.h
+++ b/packages/daemon/src/configurationkeeper.h
@@ -5,6 +5,9 @@
 namespace apricotrock::daemon {
 
 /// The configuration in force, folded from the log and adopted from peers. Thread safe.
+///
+/// Versions that were already old when this instance started are not put in force: the first one
+/// is that of a peer, or the newest one when the log has been read up to its end at the start.
 class ConfigurationKeeper
 {
 public:
@@ -18,6 +21,8 @@
     /// Folds a record; \a record is null if it could not be decoded.
     void fold(std::uint64_t offset, const std::shared_ptr<const wire::LogRecordT> &record,
               std::optional<std::uint64_t> firstOffset, TimePoint now);
+    /// Everything that the log held at the start has been folded.
+    void catchUp();
     /// Adopts the configuration of a peer; the error tells why it was refused.
     Result<bool> adopt(const wire::SnapshotT &snapshot);
 
@@ -31,7 +36,7 @@
     std::optional<wire::SnapshotT> takeDueSnapshot(TimePoint now, Duration delay);
 
 private:
-    void noteChange(bool isChanged);
+    void putInForce();
 
     const Duration m_retention;
     const ChangeCallback m_onChange;
@@ -41,6 +46,7 @@
     std::optional<WallTime> m_since;
     std::uint64_t m_firstOffset = 0;
     bool m_isFirstKnown = false;
+    bool m_isCaughtUp = false;
     /// When the newest usable snapshot was seen; nothing if its age is not known.
     std::optional<TimePoint> m_snapshotSeen;
     std::uint64_t m_snapshotOffset = 0;
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -185,7 +185,7 @@
 
 bool Instance::startTrace(std::uint32_t lane, TimePoint now)
 {
-    if (!m_recorder.start(lane, now))
+    if (!m_recorder.start(m_lanes.at(lane)->engineParameters(), now))
         return false;
     if (const auto configuration = m_configuration.current())
         m_recorder.add(engine::Event(engine::ConfigurationAccepted{configuration}), now);
@@ -205,6 +205,7 @@
         lane->closeIdleConnections();
     m_mesh->resetLinks();
     broadcast(engine::PauseDetected{late});
+    repeatLeavingServers();
 }
 
 void Instance::broadcast(const engine::Event &event)
--- a/packages/daemon/src/instance.h
+++ b/packages/daemon/src/instance.h
@@ -87,6 +87,8 @@
     platform::LogTailParameters tailParameters(std::string_view stream) const;
     void onConfiguration(const ConfigurationKeeper::Accepted &configuration);
     void onInstanceList(const std::vector<platform::InstanceInfo> &instances);
+    /// Tells the lanes again which backend servers the platform's list calls leaving.
+    void repeatLeavingServers();
     void appendDueSnapshot(TimePoint now);
 
     void makeLanes();
--- a/packages/daemon/src/instanceplatform.cpp
+++ b/packages/daemon/src/instanceplatform.cpp
@@ -3,6 +3,9 @@
 #include "logging.h"
 #include "wallclock.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace apricotrock::daemon {
 
 namespace {
@@ -55,6 +58,7 @@
         logBadRecord(wire::configStream, offset, error);
         m_configuration.fold(offset, nullptr, std::nullopt, Clock::now());
     };
+    config.onCaughtUp = [this] { m_configuration.catchUp(); };
     config.onStateChanged = [](bool isAvailable) {
         logStreamState(wire::configStream, isAvailable);
     };
@@ -86,6 +90,8 @@
         LogLevel::Info, "configuration_in_force",
         {{"version", std::to_string(configuration->version)}, {"digest", configuration->digest}});
     broadcast(engine::ConfigurationAccepted{configuration});
+    // A server that is new in this version may have been called leaving before.
+    repeatLeavingServers();
     m_mesh->setConfiguration(configuration->version, configuration->digest);
 }
 
@@ -105,16 +111,27 @@
         }
     }
     m_mesh->setKnownPeers(std::move(entryAddresses));
+    std::set<std::string> newServers;
     {
         const std::lock_guard lock(m_listMutex);
+        std::set_difference(leavingServers.begin(), leavingServers.end(), m_leavingServers.begin(),
+                            m_leavingServers.end(), std::inserter(newServers, newServers.end()));
         m_leavingInstances = std::move(leavingInstances);
-        std::swap(m_leavingServers, leavingServers);
+        m_leavingServers = std::move(leavingServers);
     }
-    // After the swap the local set is the one of the previous list.
-    for (const std::string &server : m_leavingServers) {
-        if (!leavingServers.contains(server))
-            broadcast(engine::BackendServerLeaving{server});
+    for (const std::string &server : newServers)
+        broadcast(engine::BackendServerLeaving{server});
+}
+
+void Instance::repeatLeavingServers()
+{
+    std::set<std::string> servers;
+    {
+        const std::lock_guard lock(m_listMutex);
+        servers = m_leavingServers;
     }
+    for (const std::string &server : servers)
+        broadcast(engine::BackendServerLeaving{server});
 }
 
 void Instance::appendDueSnapshot(TimePoint now)
--- a/packages/daemon/src/lane.h
+++ b/packages/daemon/src/lane.h
@@ -51,6 +51,7 @@
     /// Returns a snapshot of the engine, or nothing if the lane does not answer within \a limit.
     std::optional<engine::Status> status(Duration limit);
 
+    [[nodiscard]] const engine::Parameters &engineParameters() const { return m_parameters.engine; }
     [[nodiscard]] backend::Counters backendCounters() const { return m_sender.counters(); }
     [[nodiscard]] std::uint64_t resultRefusals() const { return m_resultRefusals; }
     [[nodiscard]] std::uint64_t intakeRefusals() const { return m_intakeRefusals; }
--- a/packages/daemon/src/logging.cpp
+++ b/packages/daemon/src/logging.cpp
@@ -54,7 +54,7 @@
 void setUpLogging(LogLevel level)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
-        LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p %m%n"));
+        LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z level=%p %m%n"));
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
         layout, log4cxx::ConsoleAppender::getSystemErr());
     logger()->removeAllAppenders();
--- a/packages/daemon/src/tracerecorder.h
+++ b/packages/daemon/src/tracerecorder.h
@@ -14,14 +14,14 @@
     /// Lines beyond this size are dropped, so that a trace cannot fill the memory.
     static constexpr std::size_t maxBytes = std::size_t(32) * 1024 * 1024;
 
-    /// Returns false if a recording is under way.
-    bool start(std::uint32_t lane, TimePoint now)
+    /// Starts with the parameters of the lane's engine; false if a recording is under way.
+    bool start(const engine::Parameters &parameters, TimePoint now)
     {
         const std::lock_guard lock(m_mutex);
         if (m_isActive)
             return false;
-        m_text.clear();
-        m_lane = lane;
+        m_text = engine::formatParameters(parameters) + '\n';
+        m_lane = parameters.lane;
         m_started = now;
         m_isActive = true;
         return true;
--- a/packages/daemon/tests/configurationkeepertest.cpp
+++ b/packages/daemon/tests/configurationkeepertest.cpp
@@ -43,6 +43,7 @@
 {
     CPPUNIT_TEST_SUITE(ConfigurationKeeperTest);
     CPPUNIT_TEST(emptyLogPutsNothingInForce);
+    CPPUNIT_TEST(oldVersionsAreSkippedAtTheStart);
     CPPUNIT_TEST(peerConfigurationIsAdoptedOnlyIfNewer);
     CPPUNIT_TEST(snapshotIsDueAtOnceAndThenAtHalfOfTheRetention);
     CPPUNIT_TEST_SUITE_END();
@@ -59,16 +60,35 @@
     void emptyLogPutsNothingInForce()
     {
         m_keeper->fold(0, nullptr, std::nullopt, start);
+        m_keeper->catchUp();
         CPPUNIT_ASSERT(!m_keeper->current());
         m_keeper->fold(1, makeRecord(firstPublication()), 0, start);
         CPPUNIT_ASSERT(m_versions == std::vector<std::uint64_t>{1});
     }
 
+    // Guards against a start that routes by every version of the log's history, one after the
+    // other.
+    void oldVersionsAreSkippedAtTheStart()
+    {
+        ConfigurationKeeper source(retention, [](const auto &) {});
+        source.fold(0, makeRecord(firstPublication()), 0, start);
+        source.catchUp();
+        m_keeper->fold(0, makeRecord(firstPublication()), 0, start);
+        std::vector<Problem> problems;
+        const ObjectTexts more = readObjects("test", "[availability-zone z2]\n", problems);
+        m_keeper->fold(1, makeRecord(makePublication(*source.current(), more, "test", "", {})), 0,
+                       start);
+        CPPUNIT_ASSERT(m_versions.empty());
+        m_keeper->catchUp();
+        CPPUNIT_ASSERT(m_versions == std::vector<std::uint64_t>{2});
+    }
+
     // Guards against an older version that replaces a newer one (G7).
     void peerConfigurationIsAdoptedOnlyIfNewer()
     {
         ConfigurationKeeper source(retention, [](const auto &) {});
         source.fold(0, makeRecord(firstPublication()), 0, start);
+        source.catchUp();
         const auto snapshot = source.snapshotFor(0);
         CPPUNIT_ASSERT(snapshot);
         CPPUNIT_ASSERT(!source.snapshotFor(1));
@@ -83,6 +103,7 @@
     void snapshotIsDueAtOnceAndThenAtHalfOfTheRetention()
     {
         m_keeper->fold(0, makeRecord(firstPublication()), 0, start);
+        m_keeper->catchUp();
         CPPUNIT_ASSERT(!m_keeper->takeDueSnapshot(start, 10s));
         const auto snapshot = m_keeper->takeDueSnapshot(start + 10s, 10s);
         CPPUNIT_ASSERT(snapshot);
