--- a/packages/emulator/src/loadcommand.cpp
+++ b/packages/emulator/src/loadcommand.cpp
@@ -16,6 +16,7 @@
     std::string duration = "10s";
     std::string swingPeriod = "400ms";
     std::string deadline = "1s";
+    std::string attemptTimeout = "1h";
     std::string jsonFile;
     std::string samplesFile;
 };
@@ -36,6 +37,8 @@
     parameters.keyMode = keyModes.at(options.keys);
     parameters.deadline =
         std::chrono::duration_cast<std::chrono::milliseconds>(readDuration(options.deadline));
+    parameters.attemptTimeout =
+        std::chrono::duration_cast<std::chrono::milliseconds>(readDuration(options.attemptTimeout));
     return parameters;
 }
 
@@ -96,6 +99,10 @@
         ->check(CLI::IsMember({"bound", "plain", "none"}));
     command.add_option("--deadline", options.deadline, "Deadline of a call, resends included")
         ->capture_default_str();
+    command
+        .add_option("--attempt-timeout", options.attemptTimeout,
+                    "Time after which an attempt is given up and the call sent again")
+        ->capture_default_str();
     command.add_option("--body-bytes", parameters.bodyBytes, "Body size of an action")
         ->capture_default_str();
     command.add_option("--resends", parameters.maxResends, "Resends of one call")
--- a/packages/emulator/src/loadgenerator.cpp
+++ b/packages/emulator/src/loadgenerator.cpp
@@ -110,7 +110,7 @@
         return std::nullopt;
     FanRequest request;
     request.method = call.isAction ? "POST" : "GET";
-    request.timeout = left + timeoutGrace;
+    request.timeout = std::min(left + timeoutGrace, m_parameters.attemptTimeout);
     request.headers = {{std::string(headername::requestDeadline), std::to_string(left.count())}};
     const std::string target = (call.isAction ? "/orders?token=" : "/status?token=") + call.token;
     std::string prefix;
--- a/packages/emulator/src/loadgenerator.h
+++ b/packages/emulator/src/loadgenerator.h
@@ -24,6 +24,8 @@
     double actionShare = 0;
     KeyMode keyMode = KeyMode::Bound;
     std::chrono::milliseconds deadline{1000};
+    /// Time after which a caller gives up one attempt and sends the call again.
+    std::chrono::milliseconds attemptTimeout{std::chrono::hours(1)};
     std::size_t callers = 8;
     std::size_t bodyBytes = 64;
     std::uint32_t maxResends = 3;
