--- a/packages/settings/src/readsettings.cpp
+++ b/packages/settings/src/readsettings.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Far above any real file; keeps a wrong path, for example a device, from filling the memory.
-constexpr std::size_t maxFileBytes = 16 * 1024 * 1024;
+constexpr std::size_t maxFileBytes = std::size_t(16) * 1024 * 1024;
 
 /// Hands each section of a file to its struct once.
 class SectionReader
@@ -75,7 +75,8 @@
     reader.read(shutdownFields(), settings.shutdown);
     reader.read(logFields(), settings.log);
     reader.checkUnknownSections();
-    checkConflicts(file, settings, problems);
+    checkConflicts(settings, problems);
+    locateProblems(file, text, problems);
     return settings;
 }
 
