--- a/packages/config/src/publication.cpp
+++ b/packages/config/src/publication.cpp
@@ -105,12 +105,24 @@
     });
 }
 
+/// Corrects the history after an initial record: its publication was judged on its own result.
+void acceptInitial(PublicationState &state, std::uint64_t offset, std::uint64_t version)
+{
+    for (PublicationEntry &entry : state.history) {
+        if (entry.offset != offset)
+            continue;
+        entry.verdict = PublicationVerdict::Accepted;
+        entry.version = version;
+    }
+}
+
 /// Starts the fold from a snapshot in the record at \a offset if it is usable.
 void loadSnapshot(PublicationState &state, std::uint64_t offset, const wire::LogRecordT &record)
 {
     // Two initial publications can race, and a new reader may not see the first one any more. Only
     // the one that stands exactly where its author saw the end of the log can be the first.
-    const std::uint64_t lowest = isInitial(record) ? offset : state.pendingFrom;
+    const bool isFirst = isInitial(record);
+    const std::uint64_t lowest = isFirst ? offset : state.pendingFrom;
     for (const auto &holder : record.entries) {
         const wire::SnapshotT *snapshot = holder->entry.AsSnapshot();
         if (snapshot == nullptr || snapshot->next_offset < lowest || snapshot->next_offset > offset)
@@ -122,6 +134,8 @@
             continue;
         startFrom(state, std::move(*configuration), snapshot->next_offset);
         state.newestSnapshotOffset = std::max(state.newestSnapshotOffset, snapshot->next_offset);
+        if (isFirst)
+            acceptInitial(state, offset, snapshot->version);
         return;
     }
 }
--- a/packages/config/tests/publicationtest.cpp
+++ b/packages/config/tests/publicationtest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(faultySnapshotsAreIgnored);
     CPPUNIT_TEST(readerThatMissedRecordsWaitsForASnapshot);
     CPPUNIT_TEST(olderPeerVersionsAreRefused);
+    CPPUNIT_TEST(olderLogVersionsAreRefused);
     CPPUNIT_TEST(faultyPeerSnapshotsAreRefused);
     CPPUNIT_TEST(adoptedConfigurationContinuesInTheLog);
     CPPUNIT_TEST(adoptionBeforeAGapDoesNotJudgePendingRecords);
@@ -97,6 +98,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), versionOf(late));
         CPPUNIT_ASSERT(late.current->objects == makeSet({2}));
         CPPUNIT_ASSERT(isContinuous(late));
+        CPPUNIT_ASSERT_EQUAL(lagging.next_offset, late.newestSnapshotOffset);
     }
 
     // Guards against starting from a snapshot when a publication after it has expired already.
@@ -146,19 +148,37 @@
         m_log.append(makeSnapshot(m_reader));
         CPPUNIT_ASSERT(m_log.read(paused));
         CPPUNIT_ASSERT(paused.current->objects == makeSet({1, 2}));
+        // The snapshot covers the pending publication, which must not be judged on top of it.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), paused.history.size());
     }
 
     // Guards against going back to an older version that a peer still has.
     void olderPeerVersionsAreRefused()
     {
-        const wire::SnapshotT old = makeSnapshot(m_reader);
+        wire::SnapshotT old = makeSnapshot(m_reader);
         m_log.publish(*m_reader.current, makeSet({1, 2}));
         m_log.read(m_reader);
         CPPUNIT_ASSERT(!adoptSnapshot(m_reader, old));
+        old.next_offset = 100;
+        CPPUNIT_ASSERT(!adoptSnapshot(m_reader, old));
         CPPUNIT_ASSERT(!adoptSnapshot(m_reader, makeSnapshot(m_reader)).value());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), versionOf(m_reader));
     }
 
+    // Guards against going back when the log was started anew below the version of a peer.
+    void olderLogVersionsAreRefused()
+    {
+        wire::SnapshotT newer = makeSnapshot(m_reader);
+        newer.version = 7;
+        PublicationState reader;
+        CPPUNIT_ASSERT(adoptSnapshot(reader, newer).value());
+        m_log.append(wire::SnapshotT());
+        m_log.append(makeInitialEntries(0, 2, makeSet({2}), "a", "", WallTime()));
+        m_log.first = 2;
+        CPPUNIT_ASSERT(!m_log.read(reader));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), versionOf(reader));
+    }
+
     // Guards against a peer with corrupt memory, another set under the same version, or a state
     // that contradicts what the log says.
     void faultyPeerSnapshotsAreRefused()
