--- a/packages/platform/tests/logtailtest.cpp
+++ b/packages/platform/tests/logtailtest.cpp
@@ -130,8 +130,9 @@
         seen.waitFor([](const Collector &c) { return c.m_marks.size() >= 100; });
         tail.stop(Clock::now() + testTimeout);
         CPPUNIT_ASSERT(expected == seen.m_marks);
-        // The entries that were there when the first attempt began are one record, all the others the
-        // second. Which entries the first attempt finds depends on the scheduling of the threads.
+        // The entries that were there when the first attempt began are one record, all the others
+        // the second. Which entries the first attempt finds depends on the scheduling of the
+        // threads.
         CPPUNIT_ASSERT(tail.counters().appends <= 2);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, tail.counters().appendedEntries);
     }
