--- a/packages/routing/src/configuration.cpp
+++ b/packages/routing/src/configuration.cpp
@@ -17,6 +17,9 @@
     return found != state.services.end() && !found->second->endpoints.empty();
 }
 
+/// Removed names that are remembered; more only matter to a mark that is told after that.
+constexpr std::size_t rememberedNames = 10000;
+
 EndpointPtr makeEndpoint(State &state, const BackendServer &server, TimePoint now)
 {
     auto endpoint = std::make_shared<EndpointState>();
@@ -25,10 +28,10 @@
     endpoint->lastHeard = now;
     endpoint->probe.budget = makeRateBudget(now);
     endpoint->probe.spread = 1 + randomFraction(state.random);
-    if (joinsOthers(state, server.service)) {
+    if (state.removedNames.erase(server.name) > 0)
         endpoint->activated = now;
+    if (joinsOthers(state, server.service))
         endpoint->slowStartBegin = now;
-    }
     return endpoint;
 }
 
@@ -69,22 +72,29 @@
     return services;
 }
 
+void removeEndpoint(State &state, const EndpointPtr &endpoint)
+{
+    endpoint->isConfigured = false;
+    if (state.removedNames.size() < rememberedNames)
+        state.removedNames.insert(endpoint->server.name);
+}
+
 Endpoints takeEndpoints(State &state, const Configuration &configuration, TimePoint now)
 {
     Endpoints endpoints;
-    for (const auto &[name, server] : configuration.backendServers) {
-        const auto old = state.endpoints.find(name);
-        EndpointPtr &entry = endpoints[name];
-        if (old != state.endpoints.end() && isSameProcess(old->second->server, server)) {
-            entry = old->second;
-            updateEndpoint(*entry, server, now);
-        } else {
-            entry = makeEndpoint(state, server, now);
+    for (const auto &[name, old] : state.endpoints) {
+        const auto server = configuration.backendServers.find(name);
+        if (server == configuration.backendServers.end()
+            || !isSameProcess(old->server, server->second)) {
+            removeEndpoint(state, old);
+            continue;
         }
+        updateEndpoint(*old, server->second, now);
+        endpoints[name] = old;
     }
-    for (const auto &[name, endpoint] : state.endpoints) {
-        const auto kept = endpoints.find(name);
-        endpoint->isConfigured = kept != endpoints.end() && kept->second == endpoint;
+    for (const auto &[name, server] : configuration.backendServers) {
+        if (!endpoints.contains(name))
+            endpoints[name] = makeEndpoint(state, server, now);
     }
     return endpoints;
 }
--- a/packages/routing/src/estimate.cpp
+++ b/packages/routing/src/estimate.cpp
@@ -14,6 +14,11 @@
 /// Local attempts are certain and current, the load of others is a guess. Counting them twice gave
 /// the lowest tail latency in bench/estimatebench.cpp.
 constexpr double localWeight = 2;
+/// Backend servers whose service times differ less count as equally fast, because the averages are
+/// noisy and an idle fleet would send all requests to the first of them.
+constexpr double equalRatio = 1.5;
+/// Below this share, failures are forgotten for the same reason.
+constexpr double forgottenFailures = 0.02;
 /// The score grows by this factor when every recent attempt failed, so that fast failures
 /// don't look like a fast backend server.
 constexpr double failurePenalty = 20;
@@ -65,9 +70,19 @@
 {
     const double load =
         localWeight * static_cast<double>(endpoint.outstanding) + othersLoad(endpoint, policy, now);
-    const double slots = std::max(1.0, endpoint.limit.value);
-    const double failures = 1 + failurePenalty * endpoint.outlier.failureShare;
-    return (load + 1) / slots * endpoint.slowness * failures;
+    // Not the adaptive limit, which recovers only with work.
+    const auto slots = static_cast<double>(endpoint.server.slots);
+    // A backend server that gets no work because of its past is tried again after a while.
+    const Seconds age = std::max(Duration::zero(), now - endpoint.lastJudged);
+    const double trust = std::exp2(-age / Seconds(policy.ejectionTime));
+    double slowness = 1 + (endpoint.slowness - 1) * trust;
+    if (slowness < equalRatio && slowness * equalRatio > 1)
+        slowness = 1;
+    double failureShare = endpoint.outlier.failureShare * trust;
+    if (failureShare < forgottenFailures)
+        failureShare = 0;
+    const double failures = 1 + failurePenalty * failureShare;
+    return (load + 1) / slots * slowness * failures;
 }
 
 } // namespace apricotrock::routing
--- a/packages/routing/src/learning.cpp
+++ b/packages/routing/src/learning.cpp
@@ -9,16 +9,12 @@
 constexpr double shedWeight = 1.0 / 16;
 
 constexpr double usualWeight = 0.02;
-/// Backend servers that differ less count as equally fast; the averages are noisy.
-constexpr double equalRatio = 1.5;
-
 void learnSlowness(ServiceState &service, EndpointState &endpoint)
 {
     const Seconds average = endpoint.serviceTime.average;
     Seconds &usual = service.usualServiceTime;
     usual += (usual == Seconds::zero() ? 1 : usualWeight) * (average - usual);
-    const double ratio = average / usual;
-    endpoint.slowness = ratio > equalRatio || ratio * equalRatio < 1 ? ratio : 1;
+    endpoint.slowness = average / usual;
 }
 
 bool isFailure(const AttemptResult &result)
@@ -37,7 +33,10 @@
     learnServiceTime(endpoint.serviceTime, latency,
                      queued / static_cast<double>(endpoint.server.slots));
     learnSlowness(service, endpoint);
-    learnLatency(endpoint.limit, latency, attempt.concurrency, endpoint.server.slots);
+    // Others may have started or ended while the attempt ran.
+    const double concurrency =
+        std::max(attempt.concurrency, estimatedLoad(endpoint, service.policy, now) + 1);
+    learnLatency(endpoint.limit, latency, concurrency, endpoint.server.slots);
     learnSuccess(endpoint);
     service.latencies.add(latency);
     ejectStraggler(state, service, endpoint, now);
@@ -50,6 +49,7 @@
 {
     EndpointState &endpoint = *attempt.endpoint;
     const bool isShed = result.status == AttemptStatus::Shed;
+    endpoint.lastJudged = now;
     service.shedShare += shedWeight * ((isShed ? 1 : 0) - service.shedShare);
     if (result.load) {
         learnLoad(endpoint, *result.load, now);
--- a/packages/routing/src/selection.cpp
+++ b/packages/routing/src/selection.cpp
@@ -60,6 +60,15 @@
     return std::find(request.tried.begin(), request.tried.end(), endpoint) != request.tried.end();
 }
 
+/// Returns true if a retry should rather wait for a backend server that has not failed it.
+bool hasUntried(const RequestState &request)
+{
+    const auto &endpoints = request.service->endpoints;
+    return std::any_of(endpoints.begin(), endpoints.end(), [&](const EndpointPtr &endpoint) {
+        return isUsable(*endpoint) && !endpoint->outlier.isEjected && !hasTried(request, endpoint);
+    });
+}
+
 /// Which ejected backend servers may be chosen.
 enum class Ejected { None, Slow, All };
 
@@ -75,6 +84,8 @@
 {
     if (!isUsable(*endpoint) || !isAllowed(*endpoint, ejected))
         return;
+    if (hasTried(request, endpoint) && hasUntried(request))
+        return;
     if (runsOn(state, request, endpoint) || !hasRoom(state, request, *endpoint, now))
         return;
     state.candidates.push_back(&endpoint);
@@ -161,9 +172,12 @@
 {
     const Policy &policy = request.service->policy;
     preferZone(state, policy, now);
+    // Drawing all would make instances with the same reports choose the same backend server.
+    const std::size_t half = std::max<std::size_t>(2, state.candidates.size() / 2);
+    const std::size_t draws = std::min({state.tuning.draws, half, state.candidates.size()});
     const EndpointPtr *best = nullptr;
     double bestScore = 0;
-    for (std::size_t i = 0; i < state.tuning.draws && !state.candidates.empty(); ++i) {
+    for (std::size_t i = 0; i < draws; ++i) {
         const EndpointPtr *drawn = drawCandidate(state, policy, now);
         const double score = state.tuning.score(**drawn, policy, now);
         if (best == nullptr || score < bestScore) {
@@ -231,7 +245,6 @@
     collectCandidates(state, request, now);
     if (state.candidates.empty())
         return nullptr;
-    prefer(state.candidates, [&](const EndpointPtr *e) { return !hasTried(request, *e); });
     switch (request.service->policy.algorithm) {
     case PolicyAlgorithm::Adaptive:
         break;
@@ -255,6 +268,8 @@
     for (const EndpointPtr &endpoint : request.service->endpoints) {
         if (!isUsable(*endpoint) || endpoint->outlier.isEjected || endpoint->reservedFor != 0)
             continue;
+        if (hasTried(request, endpoint) && hasUntried(request))
+            continue;
         if (!request.reserved || endpoint->outstanding < request.reserved->outstanding)
             request.reserved = endpoint;
     }
--- a/packages/routing/src/state.h
+++ b/packages/routing/src/state.h
@@ -50,8 +50,10 @@
     TimePoint lastHeard;
     LoadKnowledge load;
     ServiceTime serviceTime;
-    /// Service time compared to the usual one of the service; 1 if it hardly differs.
+    /// Service time compared to the usual one of the service.
     double slowness = 1;
+    /// End of the last attempt that told about failures and slowness.
+    TimePoint lastJudged;
     ConcurrencyLimit limit;
     OutlierState outlier;
     ProbeState probe;
@@ -113,7 +115,7 @@
 struct Tuning
 {
     ScoreFunction score = loadScore;
-    /// Candidates drawn for one choice.
+    /// Candidates drawn for one choice, at most half of them but at least two.
     std::size_t draws = 4;
     /// Estimated load per slot up to which requests are sent; above, they wait in the instance.
     double loadGate = 2;
@@ -127,6 +129,8 @@
     /// Ordered, so that a replayed trace visits them in the same order.
     std::map<std::string, ServicePtr> services;
     std::map<std::string, EndpointPtr> endpoints;
+    /// Backend servers that the configuration removed or gave another address.
+    std::set<std::string> removedNames;
     std::unordered_map<RequestId, RequestState> requests;
     std::unordered_map<AttemptId, AttemptState> attempts;
     /// Deadlines of the waiting requests.
--- /dev/null
+++ b/packages/routing/tests/loadtest.cpp
@@ -0,0 +1,206 @@
+#include "fixture.h"
+
+#include <random>
+
+using namespace apricotrock;
+using namespace apricotrock::routing;
+using namespace apricotrock::routing::test;
+
+class LoadTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(LoadTest);
+    CPPUNIT_TEST(sameStaleReportDoesNotCauseAHerd);
+    CPPUNIT_TEST(oldReportsLoseTheirWeight);
+    CPPUNIT_TEST(ownZoneIsLeftEarly);
+    CPPUNIT_TEST(joiningServerStartsSlowly);
+    CPPUNIT_TEST(leavingServerGetsNoNewWork);
+    CPPUNIT_TEST(leavingMarkOutlivesOlderSignals);
+    CPPUNIT_TEST(probesStayWithinTheBudget);
+    CPPUNIT_TEST(hintsCarryFreshLoadAndLeavingMarks);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against all instances choosing the one backend server that a shared report calls idle.
+    void sameStaleReportDoesNotCauseAHerd()
+    {
+        std::size_t chosen = 0;
+        constexpr std::size_t rounds = 20;
+        constexpr std::size_t instances = 16;
+        for (std::uint64_t seed = 0; seed < rounds * instances; ++seed) {
+            Instance instance(makeConfiguration(8, defaultPolicy()), seed);
+            for (int i = 0; i < 8; ++i)
+                applyLoadHint(*instance.state,
+                              {"b" + std::to_string(i), {i == 0 ? 0U : 1U, 0, 2}, 1ms, false},
+                              instance.now);
+            instance.submit();
+            chosen += instance.lastStart().backendServer == "b0" ? 1 : 0;
+        }
+        // Better informed than chance (1 in 8), but no herd.
+        CPPUNIT_ASSERT(chosen > rounds * instances / 8);
+        CPPUNIT_ASSERT(chosen < rounds * instances * 3 / 4);
+    }
+
+    // Guards against acting on load that is long gone.
+    void oldReportsLoseTheirWeight()
+    {
+        Instance instance(makeConfiguration(1, defaultPolicy()));
+        for (int i = 0; i < 50; ++i)
+            applyLoadHint(*instance.state, {"b0", {0, 0, 2}, 0ms, false}, instance.now);
+        applyLoadHint(*instance.state, {"b0", {2, 6, 2}, 0ms, false}, instance.now);
+        CPPUNIT_ASSERT(instance.statusOf("b0").estimatedLoad > 7);
+        instance.advanceBy(20ms);
+        const double later = instance.statusOf("b0").estimatedLoad;
+        CPPUNIT_ASSERT(later > 3.5 && later < 5);
+        applyLoadHint(*instance.state, {"b0", {0, 0, 2}, 60ms, false}, instance.now);
+        CPPUNIT_ASSERT_EQUAL(later, instance.statusOf("b0").estimatedLoad);
+    }
+
+    // Guards against crossing zones without need, and against a full zone beside an idle one.
+    void ownZoneIsLeftEarly()
+    {
+        Configuration configuration = makeConfiguration(8, defaultPolicy(), 4);
+        for (int i = 4; i < 8; ++i)
+            configuration.backendServers["b" + std::to_string(i)].availabilityZone = "far";
+        Instance instance(configuration);
+        std::size_t far = 0;
+        for (int i = 0; i < 20; ++i) {
+            instance.submit();
+            far += instance.lastStart().backendServer >= "b4" ? 1 : 0;
+            // Three of four slots are at the share of 0.7 that the policy names.
+            CPPUNIT_ASSERT(i >= 12 || far == 0);
+        }
+        CPPUNIT_ASSERT(far > 0);
+    }
+
+    // Guards against a cold backend server that gets the load of a warm one.
+    void joiningServerStartsSlowly()
+    {
+        Instance instance(makeConfiguration(7, defaultPolicy()));
+        instance.serve(50);
+        instance.configure(makeConfiguration(8, defaultPolicy()));
+        const std::size_t before = instance.output.starts.size();
+        const auto shareOfNew = [&](std::size_t from) {
+            std::size_t count = 0;
+            for (std::size_t i = from; i < instance.output.starts.size(); ++i)
+                count += instance.output.starts[i].backendServer == "b7" ? 1 : 0;
+            return count;
+        };
+        instance.serve(100);
+        CPPUNIT_ASSERT(shareOfNew(before) < 100 / 8 / 2);
+        instance.advanceBy(5s);
+        const std::size_t warm = instance.output.starts.size();
+        instance.serve(400);
+        CPPUNIT_ASSERT(shareOfNew(warm) > 400 / 8 / 2);
+    }
+
+    // Guards against new work for a backend server that drains, by any of its signals.
+    void leavingServerGetsNoNewWork()
+    {
+        Instance instance(makeConfiguration(3, defaultPolicy()));
+        instance.submit();
+        const AttemptStart start = instance.lastStart();
+        finishAttempt(*instance.state,
+                      {start.attempt, AttemptStatus::Answered, 200, 5ms, std::nullopt, true},
+                      instance.now, instance.output);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, instance.count(Counter::DrainSeen));
+        std::set<std::string> left{"b0", "b1", "b2"};
+        left.erase(start.backendServer);
+        markLeaving(*instance.state, *left.begin(), instance.now, instance.output);
+        left.erase(left.begin());
+        for (int i = 0; i < 20; ++i) {
+            instance.submit(lookup, 100ms);
+            CPPUNIT_ASSERT_EQUAL(*left.begin(), instance.lastStart().backendServer);
+            instance.advanceBy(20ms);
+        }
+        applyLoadHint(*instance.state, {*left.begin(), {}, 0ms, true}, instance.now);
+        const RequestId request = instance.submit();
+        CPPUNIT_ASSERT(instance.failureOf(request) == ErrorKind::NoBackendServer);
+    }
+
+    // Guards against a late signal of the instance list that brings a leaving server back.
+    void leavingMarkOutlivesOlderSignals()
+    {
+        Instance instance(makeConfiguration(1, defaultPolicy()));
+        markLeaving(*instance.state, "b0", instance.now, instance.output);
+        applyLoadHint(*instance.state, {"b0", {0, 0, 2}, 0ms, false}, instance.now);
+        finishProbe(*instance.state, {"b0", true, 5ms, LoadReport{0, 0, 2}, false}, instance.now,
+                    instance.output);
+        instance.configure(makeConfiguration(1, defaultPolicy()));
+        forgetLearned(*instance.state, instance.now);
+        instance.advanceBy(10min);
+        CPPUNIT_ASSERT_EQUAL(std::string("leaving"), instance.statusOf("b0").state);
+        instance.configure(makeConfiguration(0, defaultPolicy()));
+        instance.configure(makeConfiguration(1, defaultPolicy()));
+        CPPUNIT_ASSERT(instance.statusOf("b0").state != "leaving");
+    }
+
+    // Guards against a cost of measurement that grows with a load that swings 10:1, with instances
+    // that are replaced, and with replacements that overlap. The budget is 5 probes a second.
+    void probesStayWithinTheBudget()
+    {
+        std::mt19937_64 random(3);
+        Policy policy = defaultPolicy();
+        policy.probeBudget = 5;
+        const Configuration configuration = makeConfiguration(8, policy);
+        std::vector<std::unique_ptr<Instance>> fleet;
+        const TimePoint begin{1h};
+        std::map<std::string, std::size_t> probes;
+        const auto add = [&](TimePoint now, std::uint64_t seed) {
+            fleet.push_back(std::make_unique<Instance>(Configuration(), seed));
+            fleet.back()->now = now;
+            fleet.back()->configure(configuration);
+        };
+        for (std::uint64_t i = 0; i < 16; ++i)
+            add(begin, i);
+        std::uint64_t probesOfAll = 0;
+        for (int tick = 0; tick < 12000; ++tick) {
+            const TimePoint now = begin + tick * 10ms;
+            const bool isBusy = tick / 200 % 2 == 0;
+            if (tick % 500 == 499) {
+                fleet.erase(fleet.begin());
+                add(now, 100 + static_cast<std::uint64_t>(tick));
+            }
+            for (const auto &instance : fleet) {
+                instance->advanceBy(now - instance->now);
+                if (random() % 100 < (isBusy ? 50 : 5))
+                    instance->serve(1);
+                for (const ProbeStart &probe : instance->output.probes) {
+                    ++probes[probe.backendServer];
+                    ++probesOfAll;
+                }
+                instance->output = {};
+            }
+            const double elapsed = std::chrono::duration<double>(now - begin).count();
+            for (const auto &[server, count] : probes)
+                CPPUNIT_ASSERT(static_cast<double>(count) <= 5 * elapsed);
+        }
+        CPPUNIT_ASSERT(probesOfAll > 0);
+    }
+
+    // Guards against peers that must measure again what this instance knows, and against a circle
+    // of peers that keep an old mark alive.
+    void hintsCarryFreshLoadAndLeavingMarks()
+    {
+        Instance instance(makeConfiguration(3, defaultPolicy()));
+        instance.submit();
+        const std::string server = instance.lastStart().backendServer;
+        instance.finish(instance.lastStart().attempt, AttemptStatus::Answered, 200,
+                        LoadReport{1, 2, 2});
+        instance.advanceBy(300ms);
+        const std::string leaving = server == "b0" ? "b1" : "b0";
+        markLeaving(*instance.state, leaving, instance.now, instance.output);
+        auto hints = collectHints(*instance.state, instance.now, 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, hints.size());
+        CPPUNIT_ASSERT(hints[0].isLeaving && hints[0].backendServer == leaving);
+        CPPUNIT_ASSERT(hints[1].age == Duration(300ms) && hints[1].load.queued == 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, collectHints(*instance.state, instance.now, 1).size());
+        instance.advanceBy(1s);
+        LoadHint oldMark = collectHints(*instance.state, instance.now, 10)[0];
+        instance.configure(makeConfiguration(0, defaultPolicy()));
+        instance.configure(makeConfiguration(3, defaultPolicy()));
+        applyLoadHint(*instance.state, oldMark, instance.now);
+        CPPUNIT_ASSERT(instance.statusOf(leaving).state != "leaving");
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LoadTest);
