Engine: Repeat suspicions in hints; write the beginning of a trace

A round of hints replaces the one before it, so a suspicion could be lost before it was sent; each round now repeats the suspicions of the last 2 s. formatTraceStart() gives a recording of a running engine the parameters and the configuration that a replay needs.

--- a/packages/engine/include/apricotrock/engine.h
+++ b/packages/engine/include/apricotrock/engine.h
@@ -264,6 +264,10 @@
 std::string formatParameters(const Parameters &parameters);
 Result<Parameters> parseParameters(const std::string &line);
 
+/// Returns the first lines of a trace that is recorded from now on: parameters, configuration,
+/// peers and the state of the log. The ledger and requests in flight are not part of it.
+std::string formatTraceStart(const State &state, Duration time);
+
 /// What a replay found.
 struct ReplayReport
 {
--- a/packages/engine/src/crashes.cpp
+++ b/packages/engine/src/crashes.cpp
@@ -44,9 +44,9 @@
         effect.entries.push_back(wire::holdEntry(suspicion));
     effect.deadline = context.now + context.state.parameters.keyMaxAge;
     context.effects.emplace_back(std::move(effect));
-    TellPeers tell;
-    tell.suspicions = suspicions;
-    context.effects.emplace_back(std::move(tell));
+    for (const auto &suspicion : suspicions)
+        context.state.toldSuspicions.emplace_back(context.now, suspicion);
+    tellPeers(context, {});
 }
 
 } // namespace
--- a/packages/engine/src/logevents.cpp
+++ b/packages/engine/src/logevents.cpp
@@ -168,9 +168,7 @@
     state.sealParts = parts.size();
     for (const wire::SealT &part : parts)
         append(context, part, context.now + state.parameters.keyMaxAge);
-    TellPeers tell;
-    tell.seals = std::move(parts);
-    context.effects.emplace_back(std::move(tell));
+    tellPeers(context, std::move(parts));
 }
 
 } // namespace apricotrock::engine
--- a/packages/engine/src/replay.cpp
+++ b/packages/engine/src/replay.cpp
@@ -1,3 +1,4 @@
+#include "state.h"
 #include "tracejson.h"
 
 #include <sstream>
@@ -39,9 +40,11 @@
         instance.replies[reply->id] = *reply;
     }
     const auto *tell = std::get_if<TellPeers>(&effect);
-    if (std::holds_alternative<SendProbe>(effect) || (tell && !tell->loads.empty()))
+    if (std::holds_alternative<SendProbe>(effect)
+        || (tell && tell->seals.empty() && tell->suspicions.empty()))
         return;
-    std::string line = formatEffect(effect, time);
+    std::string line =
+        formatEffect(tell ? Effect(TellPeers{{}, tell->suspicions, tell->seals}) : effect, time);
     if (!name.empty())
         line.insert(1, "\"instance\":\"" + name + "\",");
     replay.report.output += line + '\n';
@@ -174,6 +177,16 @@
     return Json{{"ns", 0}, {"parameters", values}}.dump();
 }
 
+std::string formatTraceStart(const State &state, Duration time)
+{
+    std::string text = formatParameters(state.parameters) + '\n';
+    if (state.configuration)
+        text += formatEvent(ConfigurationAccepted{state.configuration}, time) + '\n';
+    const PeersChanged peers{{state.reachable.begin(), state.reachable.end()}};
+    text += formatEvent(peers, time) + '\n';
+    return text + formatEvent(LogStateChanged{state.isLogAvailable}, time) + '\n';
+}
+
 Result<Parameters> parseParameters(const std::string &line)
 {
     try {
--- a/packages/engine/src/state.h
+++ b/packages/engine/src/state.h
@@ -10,6 +10,9 @@
 inline constexpr Duration hintInterval = std::chrono::milliseconds(500);
 /// Hints in one round; 16 entries of about 60 bytes keep a round near 1 KB.
 inline constexpr std::size_t hintsPerRound = 16;
+/// Time for which each round of hints repeats a suspicion, because a round may replace the one
+/// before it; receivers ignore copies.
+inline constexpr Duration suspicionRepeat = std::chrono::seconds(2);
 /// Connections that end together within this time after a backend server's crash belong to it.
 inline constexpr Duration crashWindow = std::chrono::seconds(1);
 
@@ -84,6 +87,8 @@
     std::map<std::string, TimePoint> lastCrash;
     std::map<std::string, std::uint64_t> counters;
     TimePoint nextHints;
+    /// Own suspicions that hints still repeat, with the time of the crash.
+    std::deque<std::pair<TimePoint, wire::CrashSuspicionT>> toldSuspicions;
     /// Latest wall clock time that an event told.
     WallTime wallTime;
     std::uint64_t lastSuspicionExpiry = 0;
@@ -148,6 +153,11 @@
 void appendRelease(Context &context, const ledger::ScopedKey &key);
 void seal(Context &context);
 
+// step.cpp
+
+/// Tells peers the loads and recent suspicions, and \a seals.
+void tellPeers(Context &context, std::vector<wire::SealT> seals);
+
 // crashes.cpp
 
 /// Records a suspicion against the requests that ran beside a lost attempt.
--- a/packages/engine/src/step.cpp
+++ b/packages/engine/src/step.cpp
@@ -19,16 +19,12 @@
     return result;
 }
 
-void tellLoads(Context &context)
+void tellHints(Context &context)
 {
-    State &state = context.state;
-    if (context.now < state.nextHints)
+    if (context.now < context.state.nextHints)
         return;
-    state.nextHints = context.now + hintInterval;
-    TellPeers tell;
-    tell.loads = routing::collectHints(*state.routing, context.now, hintsPerRound);
-    if (!tell.loads.empty())
-        context.effects.emplace_back(std::move(tell));
+    context.state.nextHints = context.now + hintInterval;
+    tellPeers(context, {});
 }
 
 void handle(Context &context, const RequestArrived &event)
@@ -62,7 +58,7 @@
     applyOutput(context, output);
     expireWaiters(context);
     ledger::expireCrashes(state.quarantine, state.wallTime);
-    tellLoads(context);
+    tellHints(context);
 }
 
 void handle(Context &context, const ConfigurationAccepted &event)
@@ -135,6 +131,21 @@
 
 } // namespace
 
+void tellPeers(Context &context, std::vector<wire::SealT> seals)
+{
+    State &state = context.state;
+    auto &suspicions = state.toldSuspicions;
+    while (!suspicions.empty() && suspicions.front().first + suspicionRepeat < context.now)
+        suspicions.pop_front();
+    TellPeers tell;
+    tell.loads = routing::collectHints(*state.routing, context.now, hintsPerRound);
+    for (const auto &[time, suspicion] : suspicions)
+        tell.suspicions.push_back(suspicion);
+    tell.seals = std::move(seals);
+    if (!tell.loads.empty() || !tell.suspicions.empty() || !tell.seals.empty())
+        context.effects.emplace_back(std::move(tell));
+}
+
 void StateDeleter::operator()(State *state) const
 {
     delete state;
--- a/packages/engine/tests/tracetest.cpp
+++ b/packages/engine/tests/tracetest.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST_SUITE(TraceTest);
     CPPUNIT_TEST(sessionsReplayToTheirExpectedOutput);
     CPPUNIT_TEST(everyEventRoundTrips);
+    CPPUNIT_TEST(aTraceOfARunningEngineReplays);
     CPPUNIT_TEST(malformedLinesAreErrors);
     CPPUNIT_TEST(failedExpectationsAreReported);
     CPPUNIT_TEST_SUITE_END();
@@ -106,6 +107,20 @@
         CPPUNIT_ASSERT(request.key == std::get<RequestArrived>(events[0]).key);
     }
 
+    // Guards against a recording that cannot be replayed because its beginning is missing.
+    void aTraceOfARunningEngineReplays()
+    {
+        Parameters parameters;
+        parameters.incarnation = IncarnationId{7};
+        parameters.keyMaxAge = 1min;
+        const StatePtr state = makeState(parameters, TimePoint());
+        const std::string start = formatTraceStart(*state, 0ns);
+        const auto report = replayTrace(start + formatEvent(SealRequested{}, 1ms));
+        CPPUNIT_ASSERT_MESSAGE(report ? "" : report.error().message, report.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), report->events);
+        CPPUNIT_ASSERT(report->output.find("Seal") != std::string::npos);
+    }
+
     // Guards against a crash of the command-line tool on a damaged trace.
     void malformedLinesAreErrors()
     {
--- a/packages/ledger/tests/ledgertest.cpp
+++ b/packages/ledger/tests/ledgertest.cpp
@@ -150,6 +150,10 @@
         read(claim(1), own);
         CPPUNIT_ASSERT(!readRelease(m_ledger, release(1), other));
         assertVerdict(Verdict::Wait, receive(m_ledger, makeCopy(plain(1))));
+        read(claim(2), other);
+        CPPUNIT_ASSERT(!readRelease(m_ledger, release(2), IncarnationId{0xc3}));
+        assertVerdict(Verdict::AskOwner, receive(m_ledger, makeCopy(plain(2))));
+        CPPUNIT_ASSERT(readRelease(m_ledger, release(2), other));
     }
 
     // Guards against taking a late claim for the first one after the first has expired from the
