--- a/packages/config/src/validate.cpp
+++ b/packages/config/src/validate.cpp
@@ -77,7 +77,7 @@
             const std::string kind(field.detail);
             if (m_objects.contains({kind, value->second}))
                 continue;
-            report(id, std::string(field.key), "refers to a " + kind + " that does not exist",
+            report(id, std::string(field.key), "no " + kind + " has this name",
                    "add [" + kind + ' ' + value->second + "] or correct the name");
             m_problems.back().value = value->second;
         }
