--- a/packages/emulator/src/connection.cpp
+++ b/packages/emulator/src/connection.cpp
@@ -120,6 +120,7 @@
 {
     if (m_isClosed)
         return;
+    m_server->m_bytesReceived += size;
     m_rest.append(m_input.data(), size);
     dispatch();
     // Reading goes on while a request waits, so that the end of the connection is noticed.
@@ -156,6 +157,7 @@
         return;
     m_onGone = nullptr;
     m_output = std::move(bytes);
+    m_server->m_bytesSent += m_output.size();
     auto self = shared_from_this();
     asio::async_write(m_socket, asio::buffer(m_output),
                       [self, closeAfter](const asio::error_code &error, std::size_t) {
--- a/packages/emulator/src/httpserver.h
+++ b/packages/emulator/src/httpserver.h
@@ -66,6 +66,9 @@
     /// Makes all open connections unresponsive for good; new ones work.
     void freezeConnections();
     [[nodiscard]] std::size_t connectionCount() const { return m_connections.size(); }
+    /// Bytes on all connections, headers included.
+    [[nodiscard]] std::uint64_t bytesReceived() const { return m_bytesReceived; }
+    [[nodiscard]] std::uint64_t bytesSent() const { return m_bytesSent; }
 
 private:
     friend class Connection;
@@ -77,6 +80,8 @@
     asio::ip::tcp::acceptor m_acceptor;
     ExchangeHandler m_handler;
     std::set<std::shared_ptr<Connection>> m_connections;
+    std::uint64_t m_bytesReceived = 0;
+    std::uint64_t m_bytesSent = 0;
 };
 
 /// Returns the status line, the headers and the body of \a response as sent on the wire.
--- a/packages/emulator/src/platformservice.cpp
+++ b/packages/emulator/src/platformservice.cpp
@@ -263,6 +263,8 @@
                                  {"reads", m_stats.reads},
                                  {"list_reads", m_stats.listReads},
                                  {"bytes_appended", m_stats.bytesAppended},
+                                 {"http_bytes_received", m_server.bytesReceived()},
+                                 {"http_bytes_sent", m_server.bytesSent()},
                                  {"bytes_read", m_stats.bytesRead}}));
 }
 
--- a/scripts/testbed.py
+++ b/scripts/testbed.py
@@ -207,6 +207,7 @@
         path = self.folder / f"{instance.name}.ini"
         path.write_text(f"[instance]\nname = {instance.name}\n"
                         f"availability_zone = {instance.zone}\n"
+                        f"max_instances = {max(20, len(self.instances) + 4)}\n"
                         f"[listen]\ncallers = {instance.callers}\n"
                         f"operators = {instance.operators}\npeers = {instance.peers}\n"
                         f"[platform]\nlog = {self.platform}\ninstances = {self.platform}\n"
