--- a/packages/caller/include/apricotrock/caller.h
+++ b/packages/caller/include/apricotrock/caller.h
@@ -11,6 +11,9 @@
     std::size_t threads = 1;
     std::size_t maxBodyBytes = 0;
     std::size_t maxHeaderBytes = 0;
+    /// Further connections wait in the socket's queue, so that accepting does not run out of file
+    /// descriptors.
+    std::size_t maxConnections = 10000;
     std::chrono::milliseconds idleTimeout{};
     /// Longest time that a request may take to be answered.
     std::chrono::milliseconds answerTimeout{};
--- a/packages/caller/src/listener.cpp
+++ b/packages/caller/src/listener.cpp
@@ -71,6 +71,7 @@
           restinio::default_strand_t, RejectingSocket>
 {
     using connection_state_listener_t = StateListener;
+    static constexpr bool use_connection_count_limiter = true;
 };
 
 using Server = restinio::http_server_t<ListenerTraits>;
@@ -231,6 +232,7 @@
         .socket_options_setter(
             [](auto &options) { options.set_option(asio::ip::tcp::no_delay(true)); })
         .incoming_http_msg_limits(limits)
+        .max_parallel_connections(parameters.maxConnections)
         .max_pipelined_requests(pipelinedRequests)
         .concurrent_accepts_count(parameters.threads)
         .read_next_http_message_timelimit(parameters.idleTimeout)
--- a/packages/caller/tests/listenertest.cpp
+++ b/packages/caller/tests/listenertest.cpp
@@ -36,7 +36,7 @@
     BoundedRing<caller::IncomingRequest> requests{16};
     BoundedRing<RequestId> gone{16};
     caller::Listener listener{
-        {{"127.0.0.1", port}, 2, 1024, 2048, 60000ms, 60000ms},
+        {{"127.0.0.1", port}, 2, 1024, 2048, 100, 60000ms, 60000ms},
         {[this](caller::IncomingRequest request) { requests.tryPush(std::move(request)); },
          [this](RequestId id) { gone.tryPush(std::move(id)); }}};
 };
@@ -161,7 +161,7 @@
     void occupiedAddressIsAnError()
     {
         ManualListener first;
-        caller::Listener second({{"127.0.0.1", first.port}, 1, 1, 1, 1000ms, 1000ms}, {});
+        caller::Listener second({{"127.0.0.1", first.port}, 1, 1, 1, 1, 1000ms, 1000ms}, {});
         const auto result = second.start();
         CPPUNIT_ASSERT(!result);
         CPPUNIT_ASSERT(result.error().message.find(std::to_string(first.port))
--- a/packages/daemon/src/instancerequests.cpp
+++ b/packages/daemon/src/instancerequests.cpp
@@ -3,6 +3,10 @@
 #include "forwarding.h"
 #include "wallclock.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
+
 namespace apricotrock::daemon {
 
 namespace {
@@ -10,6 +14,17 @@
 /// The engine answers at the deadline; the listener's own limits lie beyond it.
 constexpr std::chrono::seconds answerSlack{10};
 
+/// Half of the file descriptors are for callers, the rest for backend servers and everything else.
+std::size_t connectionLimit()
+{
+    constexpr std::size_t fewest = 64;
+    constexpr std::size_t most = 65536;
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return fewest;
+    return std::clamp<std::size_t>(limit.rlim_cur / 2, fewest, most);
+}
+
 } // namespace
 
 void Instance::makeListener()
@@ -19,6 +34,7 @@
     parameters.threads = m_settings.limits.callerThreads;
     parameters.maxBodyBytes = m_settings.limits.body;
     parameters.maxHeaderBytes = m_settings.limits.header;
+    parameters.maxConnections = connectionLimit();
     parameters.idleTimeout =
         std::chrono::ceil<std::chrono::milliseconds>(m_settings.callers.idleTimeout);
     parameters.answerTimeout =
--- a/packages/daemon/tests/testinstance.h
+++ b/packages/daemon/tests/testinstance.h
@@ -52,13 +52,18 @@
 };
 
 /// Settings with short times and ports that were free a moment ago.
-inline apricotrock::Settings testSettings(const std::string &platformUrl)
+inline apricotrock::Settings testSettings(const std::string &platformUrl,
+                                          const std::string &name = "a1",
+                                          const std::string &seed = "")
 {
     const auto endpoint = [] { return "127.0.0.1:" + std::to_string(freePort()); };
-    const std::string text = "[instance]\nname = a1\navailability_zone = z1\n[listen]\ncallers = "
-        + endpoint() + "\noperators = " + endpoint() + "\npeers = " + endpoint()
+    const std::string text = "[instance]\nname = " + name
+        + "\navailability_zone = z1\n[listen]\ncallers = " + endpoint()
+        + "\noperators = " + endpoint() + "\npeers = " + endpoint()
         + "\n[platform]\nlog = " + platformUrl + "\ninstances = " + platformUrl
-        + "\n[callers]\naddress_lifetime = 100ms\n[shutdown]\ndrain_limit = 20s\n";
+        + "\n[callers]\naddress_lifetime = 100ms\n[shutdown]\ndrain_limit = 20s\n"
+          "[peers]\nheartbeat_interval = 50ms\nheartbeat_timeout = 500ms\nseeds = "
+        + seed + '\n';
     std::vector<apricotrock::Problem> problems;
     apricotrock::Settings settings = apricotrock::readSettings("test", text, problems);
     CPPUNIT_ASSERT_MESSAGE(problems.empty() ? "" : problems.front().toString(), problems.empty());
