--- a/packages/routing/src/outlier.cpp
+++ b/packages/routing/src/outlier.cpp
@@ -12,6 +12,8 @@
 /// A backend server that is slower than the median of the others by this factor is a straggler.
 /// Below that, the load estimate gives it less work, which uses its capacity better.
 constexpr double stragglerRatio = 3;
+/// Below the straggler ratio, because stragglers raise the usual service time.
+constexpr double suspicionRatio = 1.2;
 /// Attempts that show a straggler; after an ejection one is enough.
 constexpr std::uint64_t stragglerSamples = 5;
 constexpr std::uint64_t returnedSamples = 1;
@@ -86,6 +88,9 @@
         endpoint.outlier.ejections > 0 ? returnedSamples : stragglerSamples;
     if (endpoint.outlier.isEjected || endpoint.serviceTime.samples < needed)
         return;
+    // Spares the median for all but the suspicious ones.
+    if (endpoint.serviceTime.recent <= service.usualServiceTime * suspicionRatio)
+        return;
     const Seconds median = medianOfOthers(service, endpoint);
     if (median <= Seconds::zero() || endpoint.serviceTime.recent <= stragglerRatio * median)
         return;
