--- a/packages/routing/bench/estimatebench.cpp
+++ b/packages/routing/bench/estimatebench.cpp
@@ -10,12 +10,14 @@
 using namespace apricotrock::routing::bench;
 using namespace std::chrono_literals;
 
+// Usage: estimate_bench [PART OF A VARIANT'S NAME [FIRST OF FIVE SEEDS]]
+
 namespace {
 
 constexpr Duration meanWork = 6ms;
 constexpr Duration traceLength = 20s;
 constexpr Duration warmUp = 2s;
-constexpr std::uint64_t seeds[] = {11, 12, 13};
+std::vector<std::uint64_t> seeds = {11, 12, 13};
 
 struct Variant
 {
@@ -200,6 +202,10 @@
 int main(int argc, char **argv)
 {
     const std::string filter = argc > 1 ? argv[1] : "";
+    if (argc > 2) {
+        const auto first = static_cast<std::uint64_t>(std::atoll(argv[2]));
+        seeds = {first, first + 1, first + 2, first + 3, first + 4};
+    }
     double oracleP99 = 0;
     double p2cP99 = 0;
     std::printf("%-28s %8s %8s %8s %8s %9s %9s\n", "variant", "p50 ms", "p99 ms", "/p2c", "/oracle",
--- a/packages/routing/bench/fleet.cpp
+++ b/packages/routing/bench/fleet.cpp
@@ -25,6 +25,8 @@
     std::list<Job> running;
     /// Requests sent and not ended, for the oracle.
     std::size_t assigned = 0;
+    LoadReport report;
+    TimePoint reported;
 };
 
 struct Instance
@@ -288,9 +290,13 @@
     result.attempt = job.attempt;
     result.status = status;
     result.httpStatus = status == AttemptStatus::Answered ? 200 : 503;
-    result.load = LoadReport{static_cast<std::uint32_t>(server.running.size()),
-                             static_cast<std::uint32_t>(server.waiting.size()),
-                             static_cast<std::uint32_t>(m_parameters.slots)};
+    if (m_now - server.reported >= m_parameters.reportAge) {
+        server.reported = m_now;
+        server.report = {static_cast<std::uint32_t>(server.running.size()),
+                         static_cast<std::uint32_t>(server.waiting.size()),
+                         static_cast<std::uint32_t>(m_parameters.slots)};
+    }
+    result.load = server.report;
     at(m_now + m_parameters.oneWay, [this, job, result] { deliver(job.instance, result); });
 }
 
--- a/packages/routing/bench/fleet.h
+++ b/packages/routing/bench/fleet.h
@@ -26,8 +26,8 @@
     /// Requests beyond this many waiting in a backend server are shed.
     std::size_t serverQueue = 32;
     Duration oneWay = std::chrono::microseconds(500);
-    /// Extra age of every load report.
-    Duration reportDelay = std::chrono::milliseconds(0);
+    /// A backend server reports the load that it saw up to this long ago.
+    Duration reportAge = std::chrono::milliseconds(10);
     Duration hintInterval = std::chrono::milliseconds(500);
     std::size_t hintFanOut = 4;
     /// The last backend server takes this many times as long from \c stragglerFrom on.
