--- a/packages/routing/src/learning.cpp
+++ b/packages/routing/src/learning.cpp
@@ -8,6 +8,15 @@
 
 constexpr double shedWeight = 1.0 / 16;
 
+constexpr double usualWeight = 0.02;
+void learnSlowness(ServiceState &service, EndpointState &endpoint)
+{
+    const Seconds average = endpoint.serviceTime.average;
+    Seconds &usual = service.usualServiceTime;
+    usual += (usual == Seconds::zero() ? 1 : usualWeight) * (average - usual);
+    endpoint.slowness = average / usual;
+}
+
 bool isFailure(const AttemptResult &result)
 {
     // A refusal is a sign of load, not of a fault.
@@ -23,11 +32,14 @@
     const double queued = result.load ? result.load->queued : 0;
     learnServiceTime(endpoint.serviceTime, latency,
                      queued / static_cast<double>(endpoint.server.slots));
-    learnLatency(endpoint.limit, latency, attempt.concurrency, endpoint.server.slots);
+    learnSlowness(service, endpoint);
+    // Others may have started or ended while the attempt ran.
+    const double concurrency =
+        std::max(attempt.concurrency, estimatedLoad(endpoint, service.policy, now) + 1);
+    learnLatency(endpoint.limit, latency, concurrency, endpoint.server.slots);
     learnSuccess(endpoint);
     service.latencies.add(latency);
-    if (service.policy.algorithm == PolicyAlgorithm::Adaptive)
-        ejectStraggler(state, service, endpoint, now);
+    ejectStraggler(state, service, endpoint, now);
 }
 
 } // namespace
@@ -37,6 +49,7 @@
 {
     EndpointState &endpoint = *attempt.endpoint;
     const bool isShed = result.status == AttemptStatus::Shed;
+    endpoint.lastJudged = now;
     service.shedShare += shedWeight * ((isShed ? 1 : 0) - service.shedShare);
     if (result.load) {
         learnLoad(endpoint, *result.load, now);
@@ -63,10 +76,11 @@
     }
 }
 
-void learnCancelled(ServiceState &service, const AttemptState &attempt, TimePoint now)
+void learnCancelled(State &state, ServiceState &service, const AttemptState &attempt, TimePoint now)
 {
     const Duration elapsed = now - attempt.start;
     learnLowerBound(attempt.endpoint->serviceTime, elapsed);
+    ejectStraggler(state, service, *attempt.endpoint, now);
     // Without this, hedged slow attempts would be missing and the hedge delay would shrink.
     if (elapsed > service.latencies.quantile(0.5))
         service.latencies.add(elapsed);
