--- a/packages/engine/src/execution.cpp
+++ b/packages/engine/src/execution.cpp
@@ -81,6 +81,9 @@
 void startAttempt(Context &context, const routing::AttemptStart &start)
 {
     State &state = context.state;
+    // While the seal ends requests, routing may give the place of one to the next.
+    if (state.ledger.isSealed)
+        return;
     Execution &execution = state.executions.at(start.request);
     ++execution.startedAttempts;
     state.attempts[start.attempt] = {start.request, start.backendServer, execution.key,
@@ -208,8 +211,10 @@
 {
     for (const auto &start : output.starts)
         startAttempt(context, start);
-    for (const AttemptId attempt : output.cancels)
-        context.effects.emplace_back(CancelAttempt{attempt});
+    for (const AttemptId attempt : output.cancels) {
+        if (context.state.attempts.contains(attempt))
+            context.effects.emplace_back(CancelAttempt{attempt});
+    }
     for (const auto &probe : output.probes)
         context.effects.emplace_back(SendProbe{probe});
     for (const auto &[request, attempt] : output.completions)
