--- a/packages/config/tests/publicationtest.cpp
+++ b/packages/config/tests/publicationtest.cpp
@@ -254,6 +254,8 @@
     void publicationsDoNotReplaceSnapshots()
     {
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), m_reader.newestSnapshotOffset);
+        // The record before it makes the snapshot expire as early as its own next_offset.
+        m_log.append(wire::SnapshotT());
         m_log.append(makeSnapshot(m_reader));
         m_log.publish(*m_reader.current, makeSet({1, 2}));
         m_log.read(m_reader);
