--- a/packages/caller/src/listener.cpp
+++ b/packages/caller/src/listener.cpp
@@ -71,6 +71,8 @@
           restinio::default_strand_t, RejectingSocket>
 {
     using connection_state_listener_t = StateListener;
+    // The name is given by RESTinio.
+    // NOLINTNEXTLINE(readability-identifier-naming)
     static constexpr bool use_connection_count_limiter = true;
 };
 
