--- a/packages/daemon/src/instanceplatform.cpp
+++ b/packages/daemon/src/instanceplatform.cpp
@@ -45,6 +45,7 @@
     parameters.incarnation = m_incarnation;
     parameters.instance = m_settings.instance.name;
     parameters.ringEntries = m_settings.limits.ringEntries;
+    parameters.appendInterval = platform::appendIntervalFor(m_settings.instance.maxInstances);
     return parameters;
 }
 
--- a/packages/platform/include/apricotrock/platform.h
+++ b/packages/platform/include/apricotrock/platform.h
@@ -70,6 +70,8 @@
     PlatformResult<ReadAnswer> read(std::string_view stream, std::uint64_t from,
                                     std::size_t maxRecords, std::chrono::milliseconds wait);
     PlatformResult<std::vector<InstanceInfo>> instances();
+    /// Size of the last answer of instances() in bytes; 0 before the first one.
+    [[nodiscard]] std::size_t listBytes() const;
     /// Makes the call under way and all later ones fail at once; for any thread.
     void cancel();
 
@@ -96,8 +98,22 @@
     IncarnationId incarnation;
     std::string instance;
     std::size_t ringEntries = 1024;
+    /// Shortest time between two appends; see appendIntervalFor().
+    std::chrono::milliseconds appendInterval{40};
 };
 
+/// Appends a second that all instances together may make, below the several hundred that the log
+/// takes from all its users.
+inline constexpr std::uint64_t appendsPerSecond = 400;
+
+/// Returns the time between two appends of one instance with which \a instances of them stay within
+/// appendsPerSecond.
+constexpr std::chrono::milliseconds appendIntervalFor(std::uint64_t instances)
+{
+    constexpr std::uint64_t millisecondsPerSecond = 1000;
+    return std::chrono::milliseconds(instances * millisecondsPerSecond / appendsPerSecond);
+}
+
 /// Callbacks of a LogTail; they run on its threads and must not block.
 struct LogTailCallbacks
 {
@@ -152,7 +168,16 @@
     std::unique_ptr<Private> m_private;
 };
 
-/// Polls the instance list on a thread of its own.
+/// Bytes a second that polling the instance list may cost on average: a quarter of the 4 KB/s that
+/// all control traffic of an instance may use.
+inline constexpr std::uint64_t listBytesPerSecond = 1024;
+
+/// Returns the time between two polls: \a interval, or longer if an answer of \a bytes at that
+/// interval would cost more than listBytesPerSecond. Instances poll at different times and tell
+/// each other of leaving backend servers, so that the fleet learns faster than one instance polls.
+std::chrono::milliseconds pollDelay(std::chrono::milliseconds interval, std::size_t bytes);
+
+/// Polls the instance list on a thread of its own, at the intervals of pollDelay().
 class InstanceListPoller
 {
 public:
--- a/packages/platform/src/client.cpp
+++ b/packages/platform/src/client.cpp
@@ -52,6 +52,7 @@
     std::string instancesUrl;
     std::chrono::milliseconds timeout{};
     HttpCall call;
+    std::size_t listBytes = 0;
 
     std::string recordsUrl(std::string_view stream) const
     {
@@ -102,12 +103,18 @@
     const CallResult result = m_private->call.get(url, m_private->timeout, maxListBytes);
     if (auto error = callFailure(result, statusOk, url))
         return tl::make_unexpected(std::move(*error));
+    m_private->listBytes = result.body.size();
     auto instances = parseInstances(result.body);
     if (!instances)
         return failure(PlatformFailure::Malformed, url + ": " + instances.error().message);
     return std::move(*instances);
 }
 
+std::size_t Client::listBytes() const
+{
+    return m_private->listBytes;
+}
+
 void Client::cancel()
 {
     m_private->call.cancel();
--- a/packages/platform/src/instancelistpoller.cpp
+++ b/packages/platform/src/instancelistpoller.cpp
@@ -1,7 +1,16 @@
 #include "apricotrock/platform.h"
 
+#include <algorithm>
+
 namespace apricotrock::platform {
 
+std::chrono::milliseconds pollDelay(std::chrono::milliseconds interval, std::size_t bytes)
+{
+    constexpr std::uint64_t millisecondsPerSecond = 1000;
+    const std::chrono::milliseconds affordable(bytes * millisecondsPerSecond / listBytesPerSecond);
+    return std::max(interval, affordable);
+}
+
 struct InstanceListPoller::Private
 {
     Private(std::string instancesUrl, std::chrono::milliseconds timeout)
@@ -13,10 +22,11 @@
         std::unique_lock lock(mutex);
         while (!isStopped) {
             lock.unlock();
-            const TimePoint next = Clock::now() + interval;
+            const TimePoint start = Clock::now();
             // The previous list stays in force when a read fails.
             if (const auto list = client.instances())
                 callback(*list);
+            const TimePoint next = start + pollDelay(interval, client.listBytes());
             lock.lock();
             changed.wait_until(lock, next, [this] { return isStopped; });
         }
--- a/packages/platform/src/logappender.cpp
+++ b/packages/platform/src/logappender.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// The platform takes several hundred appends a second from all instances together; 16 instances at
-/// this interval make 400 a second.
-constexpr std::chrono::milliseconds appendInterval{40};
 constexpr std::size_t maxJobsPerRecord = 256;
 constexpr std::chrono::milliseconds firstRetryDelay{50};
 constexpr std::chrono::milliseconds maxRetryDelay{1000};
@@ -191,7 +188,7 @@
 
 void LogAppender::waitBetweenAppends()
 {
-    const TimePoint next = m_lastAppend + appendInterval;
+    const TimePoint next = m_lastAppend + m_parameters.appendInterval;
     const TimePoint now = Clock::now();
     if (next > now)
         sleepFor(next - now);
--- a/packages/platform/tests/instancelistpollertest.cpp
+++ b/packages/platform/tests/instancelistpollertest.cpp
@@ -9,9 +9,19 @@
 {
     CPPUNIT_TEST_SUITE(InstanceListPollerTest);
     CPPUNIT_TEST(listIsToldAfterAnOutageAndNeverDuringIt);
+    CPPUNIT_TEST(longListsArePolledLessOften);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against control traffic that grows with the number of instances and backend servers.
+    void longListsArePolledLessOften()
+    {
+        using std::chrono::milliseconds;
+        CPPUNIT_ASSERT(pollDelay(milliseconds(1000), 0) == milliseconds(1000));
+        CPPUNIT_ASSERT(pollDelay(milliseconds(1000), 1024) == milliseconds(1000));
+        CPPUNIT_ASSERT(pollDelay(milliseconds(1000), 204800) == milliseconds(200000));
+    }
+
     void listIsToldAfterAnOutageAndNeverDuringIt()
     {
         FakePlatform platform;
