Backend: Widen the waits of the sender tests

Cause: a deadline of 100 ms against an answer after 200 ms turned on the speed of the machine; a slow connect would have counted as ConnectFailed. Change: a deadline of 1 s against an answer after 3 s, 500 ms for bytes that are already on the way. Conclusion: the same checks with wider margins.

--- a/packages/backend/tests/sendertest.cpp
+++ b/packages/backend/tests/sendertest.cpp
@@ -141,7 +141,7 @@
             CPPUNIT_ASSERT_EQUAL(std::string("first"),
                                  sender.run(server.endpoint()).response->body);
             // The second copy has arrived when the connection holds unread bytes.
-            std::this_thread::sleep_for(50ms);
+            std::this_thread::sleep_for(500ms);
             CPPUNIT_ASSERT_EQUAL(std::string("ok"), sender.run(server.endpoint()).response->body);
             CPPUNIT_ASSERT_EQUAL(2, server.connections());
         }
@@ -163,12 +163,14 @@
     // Guards against waiting past the deadline, and against a late answer on a pooled connection.
     void lateAnswerIsATimeoutAndClosesTheConnection()
     {
-        const Reaction late{{{200ms, goodAnswer}}, false};
+        // Far apart, so that a stalled test machine neither delays the connection past the deadline
+        // nor lets the answer arrive before it.
+        const Reaction late{{{3s, goodAnswer}}, false};
         const Reaction silent{{}, false};
         for (const Reaction &reaction : {late, silent}) {
             RawServer server({reaction, sendAtOnce(goodAnswer)});
             TestSender sender;
-            const Finished finished = sender.run(server.endpoint(), {"GET", "/a", {}, {}}, 100ms);
+            const Finished finished = sender.run(server.endpoint(), {"GET", "/a", {}, {}}, 1s);
             CPPUNIT_ASSERT(finished.result.status == AttemptStatus::Timeout);
             CPPUNIT_ASSERT(!finished.response);
             waitForClosedConnections(server);
