Config: Take the default policy from the schema

Change: defaultPolicy() in the config package reads the schema's defaults; the copies are gone. Conclusion: a default has one place again.

--- a/packages/config/include/apricotrock/config.h
+++ b/packages/config/include/apricotrock/config.h
@@ -40,6 +40,9 @@
     Configuration configuration;
 };
 
+/// Returns a policy that has the default of every key, as the schema states them.
+Policy defaultPolicy(const std::string &name);
+
 /// Reads objects from INI text. Sections are `[KIND NAME]`.
 ObjectTexts readObjects(const std::string &file, const std::string &text,
                         std::vector<Problem> &problems);
--- a/packages/config/src/objects.cpp
+++ b/packages/config/src/objects.cpp
@@ -17,6 +17,15 @@
     return text;
 }
 
+Policy defaultPolicy(const std::string &name)
+{
+    std::vector<Problem> problems;
+    Policy policy;
+    policy.name = name;
+    readFields(FieldReader(RawSection{}, problems), policy);
+    return policy;
+}
+
 ObjectTexts readObjects(const std::string &file, const std::string &text,
                         std::vector<Problem> &problems)
 {
--- a/packages/routing/bench/decisionbench.cpp
+++ b/packages/routing/bench/decisionbench.cpp
@@ -18,25 +18,8 @@
 
 Configuration makeConfiguration(std::size_t endpoints, std::size_t services)
 {
-    Policy policy;
-    policy.name = "p";
-    policy.queueLimit = 64;
-    policy.retryBudget = 0.1;
-    policy.maxAttempts = 3;
-    policy.hedgeQuantile = 0.95;
-    policy.hedgeBudget = 0.05;
-    policy.probeBudget = 1;
-    policy.probePath = "/health";
-    policy.probeTimeout = 200ms;
-    policy.reportHalfLife = 20ms;
-    policy.ejectionFailures = 5;
-    policy.ejectionTime = 2s;
-    policy.maxEjected = 0.34;
-    policy.slowStart = 5s;
-    policy.zoneSpill = 0.7;
-    policy.callerShare = 0.5;
     Configuration configuration;
-    configuration.policies["p"] = policy;
+    configuration.policies["p"] = defaultPolicy("p");
     for (std::size_t i = 0; i < services; ++i) {
         const std::string name = "service" + std::to_string(i);
         configuration.services[name] = {name, "p", 5};
--- a/packages/routing/bench/estimatebench.cpp
+++ b/packages/routing/bench/estimatebench.cpp
@@ -155,7 +155,7 @@
 FleetParameters withAlgorithm(PolicyAlgorithm algorithm)
 {
     FleetParameters parameters;
-    parameters.policy = defaultPolicy();
+    parameters.policy = defaultPolicy("p");
     parameters.policy.algorithm = algorithm;
     return parameters;
 }
--- a/packages/routing/bench/fleet.cpp
+++ b/packages/routing/bench/fleet.cpp
@@ -338,33 +338,6 @@
 
 } // namespace
 
-Policy defaultPolicy()
-{
-    Policy policy;
-    policy.name = "p";
-    policy.algorithm = PolicyAlgorithm::Adaptive;
-    policy.queueLimit = 64;
-    policy.lookupDeadline = 1s;
-    policy.actionDeadline = 5s;
-    policy.retryBudget = 0.1;
-    policy.maxAttempts = 3;
-    policy.hedgeQuantile = 0.95;
-    policy.hedgeBudget = 0.05;
-    policy.probeBudget = 1;
-    policy.probePath = "/health";
-    policy.probeTimeout = 200ms;
-    policy.reportHalfLife = 20ms;
-    policy.ejectionFailures = 5;
-    policy.ejectionTime = 2s;
-    policy.maxEjected = 0.34;
-    policy.slowStart = 5s;
-    policy.zoneSpill = 0.7;
-    policy.callerShare = 0.5;
-    policy.crashLimit = 2;
-    policy.quarantineTime = 30min;
-    return policy;
-}
-
 std::vector<Arrival> makeArrivals(std::uint64_t seed, double perSecond, Duration length,
                                   Duration meanWork, std::size_t instances)
 {
--- a/packages/routing/bench/fleet.h
+++ b/packages/routing/bench/fleet.h
@@ -55,8 +55,6 @@
     std::map<std::string, std::uint64_t> failures;
 };
 
-/// Returns the policy of the schema's defaults.
-Policy defaultPolicy();
 /// Returns a trace with exponential gaps and log-normal work of mean \a meanWork.
 std::vector<Arrival> makeArrivals(std::uint64_t seed, double perSecond, Duration length,
                                   Duration meanWork, std::size_t instances);
--- a/packages/routing/tests/attempttest.cpp
+++ b/packages/routing/tests/attempttest.cpp
@@ -26,7 +26,7 @@
     void actionHasOneAttemptAtATime()
     {
         std::mt19937_64 random(7);
-        Policy policy = defaultPolicy();
+        Policy policy = defaultPolicy("p");
         policy.retryBudget = 1;
         policy.hedgeQuantile = 0.5;
         policy.hedgeBudget = 1;
@@ -104,7 +104,7 @@
             {AttemptStatus::AnswerInvalid, ErrorKind::BackendAnswerInvalid},
         };
         for (const auto &[status, kind] : cases) {
-            Instance instance(makeConfiguration(3, defaultPolicy()));
+            Instance instance(makeConfiguration(3, defaultPolicy("p")));
             const RequestId request = instance.submit(action);
             instance.finish(instance.lastStart().attempt, status);
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, instance.startsOf(request).size());
@@ -116,7 +116,7 @@
     void actionIsRepeatedAfterProofThatItDidNotRun()
     {
         for (const AttemptStatus status : {AttemptStatus::ConnectFailed, AttemptStatus::Shed}) {
-            Instance instance(makeConfiguration(3, defaultPolicy()));
+            Instance instance(makeConfiguration(3, defaultPolicy("p")));
             const RequestId request = instance.submit(action);
             instance.finish(instance.lastStart().attempt, status);
             const auto starts = instance.startsOf(request);
@@ -128,7 +128,7 @@
     // Guards against a late result that ends another request or frees a slot twice.
     void lateAndDuplicateResultsAreIgnored()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy()));
+        Instance instance(makeConfiguration(1, defaultPolicy("p")));
         const RequestId request = instance.submit();
         const AttemptStart start = instance.lastStart();
         instance.finish(start.attempt, AttemptStatus::Answered);
@@ -142,7 +142,7 @@
     // Guards against an answer that is dropped, or repeated although another would be the same.
     void lookupAnswerWithServerErrorIsDelivered()
     {
-        Policy policy = defaultPolicy();
+        Policy policy = defaultPolicy("p");
         Instance withBudget(makeConfiguration(3, policy));
         const RequestId plainError = withBudget.submit();
         withBudget.finish(withBudget.lastStart().attempt, AttemptStatus::Answered, 500);
@@ -161,7 +161,7 @@
     // Guards against a dead connection that uses up the whole deadline of a lookup.
     void lookupLeavesTimeForASecondAttempt()
     {
-        Instance instance(makeConfiguration(3, defaultPolicy()));
+        Instance instance(makeConfiguration(3, defaultPolicy("p")));
         const RequestId request = instance.submit(lookup, 1s);
         const AttemptStart start = instance.lastStart();
         CPPUNIT_ASSERT(start.deadline <= instance.now + 500ms);
@@ -173,7 +173,7 @@
     // Guards against innocent requests beside one that is suspected of crashing servers.
     void isolatedRequestRunsAlone()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy()));
+        Instance instance(makeConfiguration(1, defaultPolicy("p")));
         const RequestId before = instance.submit();
         const RequestId isolated = instance.submitIsolated();
         const RequestId after = instance.submit();
@@ -189,7 +189,7 @@
     // Guards against "not run" for a request that was started.
     void cancelTellsWhetherTheRequestStarted()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy(), 1));
+        Instance instance(makeConfiguration(1, defaultPolicy("p"), 1));
         const RequestId started = instance.submit();
         const RequestId waiting = instance.submit();
         CPPUNIT_ASSERT(cancelRequest(*instance.state, waiting, instance.now, instance.output));
@@ -200,7 +200,7 @@
     // Guards against more connections than a backend server accepts from all instances together.
     void connectionsPerServerStayWithinTheShare()
     {
-        Policy policy = defaultPolicy();
+        Policy policy = defaultPolicy("p");
         policy.algorithm = PolicyAlgorithm::Random;
         Instance instance(makeConfiguration(2, policy));
         for (int i = 0; i < 60; ++i)
--- a/packages/routing/tests/budgettest.cpp
+++ b/packages/routing/tests/budgettest.cpp
@@ -19,7 +19,7 @@
     // Guards against a retry storm when many attempts fail.
     void retriesStayAShareOfRequests()
     {
-        Policy policy = defaultPolicy();
+        Policy policy = defaultPolicy("p");
         policy.ejectionFailures = 1000;
         Instance instance(makeConfiguration(8, policy));
         std::size_t finished = 0;
@@ -39,7 +39,7 @@
     // Guards against retries that take the last capacity of a fleet that sheds.
     void sheddingFleetGetsNoRetries()
     {
-        Policy policy = defaultPolicy();
+        Policy policy = defaultPolicy("p");
         policy.retryBudget = 1;
         Instance instance(makeConfiguration(8, policy));
         std::size_t finished = 0;
@@ -62,7 +62,7 @@
     // Guards against a lookup that waits for a straggler, and against a loser that goes on working.
     void slowLookupIsHedgedAndTheLoserCancelled()
     {
-        Instance instance(makeConfiguration(4, defaultPolicy()));
+        Instance instance(makeConfiguration(4, defaultPolicy("p")));
         instance.serve(100);
         const RequestId request = instance.submit();
         instance.advanceBy(20ms);
@@ -80,7 +80,7 @@
     // Guards against hedges that double the load when everything becomes slow.
     void hedgesStayAShareOfLookups()
     {
-        Instance instance(makeConfiguration(4, defaultPolicy()));
+        Instance instance(makeConfiguration(4, defaultPolicy("p")));
         instance.serve(100);
         std::size_t finished = instance.output.starts.size();
         for (int i = 0; i < 400; ++i) {
@@ -99,7 +99,7 @@
     // Guards against hedges that take slots from waiting requests.
     void nothingIsHedgedWhileRequestsWait()
     {
-        Instance instance(makeConfiguration(2, defaultPolicy(), 1));
+        Instance instance(makeConfiguration(2, defaultPolicy("p"), 1));
         instance.serve(100);
         instance.submit();
         const RequestId failed = instance.submit();
@@ -114,7 +114,7 @@
     // Guards against a reorder that is printed twice.
     void actionsAreNotHedged()
     {
-        Instance instance(makeConfiguration(4, defaultPolicy()));
+        Instance instance(makeConfiguration(4, defaultPolicy("p")));
         instance.serve(100);
         const RequestId request = instance.submit(action, 5s);
         instance.advanceBy(4s);
--- a/packages/routing/tests/fixture.cpp
+++ b/packages/routing/tests/fixture.cpp
@@ -4,29 +4,6 @@
 
 namespace apricotrock::routing::test {
 
-Policy defaultPolicy()
-{
-    Policy policy;
-    policy.name = "p";
-    policy.algorithm = PolicyAlgorithm::Adaptive;
-    policy.queueLimit = 64;
-    policy.retryBudget = 0.1;
-    policy.maxAttempts = 3;
-    policy.hedgeQuantile = 0.95;
-    policy.hedgeBudget = 0.05;
-    policy.probeBudget = 1;
-    policy.probePath = "/health";
-    policy.probeTimeout = 200ms;
-    policy.reportHalfLife = 20ms;
-    policy.ejectionFailures = 5;
-    policy.ejectionTime = 2s;
-    policy.maxEjected = 0.34;
-    policy.slowStart = 5s;
-    policy.zoneSpill = 0.7;
-    policy.callerShare = 0.5;
-    return policy;
-}
-
 Configuration makeConfiguration(std::size_t servers, const Policy &policy, std::uint64_t slots)
 {
     Configuration configuration;
--- a/packages/routing/tests/fixture.h
+++ b/packages/routing/tests/fixture.h
@@ -8,8 +8,6 @@
 
 using namespace std::chrono_literals;
 
-/// Returns the schema's defaults.
-Policy defaultPolicy();
 /// Returns the service `s` with the backend servers b0, b1, ... in availability zone `z`.
 Configuration makeConfiguration(std::size_t servers, const Policy &policy, std::uint64_t slots = 2);
 
--- a/packages/routing/tests/loadtest.cpp
+++ b/packages/routing/tests/loadtest.cpp
@@ -27,7 +27,7 @@
         constexpr std::size_t rounds = 20;
         constexpr std::size_t instances = 16;
         for (std::uint64_t seed = 0; seed < rounds * instances; ++seed) {
-            Instance instance(makeConfiguration(8, defaultPolicy()), seed);
+            Instance instance(makeConfiguration(8, defaultPolicy("p")), seed);
             for (int i = 0; i < 8; ++i)
                 applyLoadHint(*instance.state,
                               {"b" + std::to_string(i), {i == 0 ? 0U : 1U, 0, 2}, 1ms, false},
@@ -43,7 +43,7 @@
     // Guards against acting on load that is long gone.
     void oldReportsLoseTheirWeight()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy()));
+        Instance instance(makeConfiguration(1, defaultPolicy("p")));
         for (int i = 0; i < 50; ++i)
             applyLoadHint(*instance.state, {"b0", {0, 0, 2}, 0ms, false}, instance.now);
         applyLoadHint(*instance.state, {"b0", {2, 6, 2}, 0ms, false}, instance.now);
@@ -58,7 +58,7 @@
     // Guards against crossing zones without need, and against a full zone beside an idle one.
     void ownZoneIsLeftEarly()
     {
-        Configuration configuration = makeConfiguration(8, defaultPolicy(), 4);
+        Configuration configuration = makeConfiguration(8, defaultPolicy("p"), 4);
         for (int i = 4; i < 8; ++i)
             configuration.backendServers["b" + std::to_string(i)].availabilityZone = "far";
         Instance instance(configuration);
@@ -75,9 +75,9 @@
     // Guards against a cold backend server that gets the load of a warm one.
     void joiningServerStartsSlowly()
     {
-        Instance instance(makeConfiguration(7, defaultPolicy()));
+        Instance instance(makeConfiguration(7, defaultPolicy("p")));
         instance.serve(50);
-        instance.configure(makeConfiguration(8, defaultPolicy()));
+        instance.configure(makeConfiguration(8, defaultPolicy("p")));
         const std::size_t before = instance.output.starts.size();
         const auto shareOfNew = [&](std::size_t from) {
             std::size_t count = 0;
@@ -96,7 +96,7 @@
     // Guards against new work for a backend server that drains, by any of its signals.
     void leavingServerGetsNoNewWork()
     {
-        Instance instance(makeConfiguration(3, defaultPolicy()));
+        Instance instance(makeConfiguration(3, defaultPolicy("p")));
         instance.submit();
         const AttemptStart start = instance.lastStart();
         finishAttempt(*instance.state,
@@ -120,17 +120,17 @@
     // Guards against a late signal of the instance list that brings a leaving server back.
     void leavingMarkOutlivesOlderSignals()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy()));
+        Instance instance(makeConfiguration(1, defaultPolicy("p")));
         markLeaving(*instance.state, "b0", instance.now, instance.output);
         applyLoadHint(*instance.state, {"b0", {0, 0, 2}, 0ms, false}, instance.now);
         finishProbe(*instance.state, {"b0", true, 5ms, LoadReport{0, 0, 2}, false}, instance.now,
                     instance.output);
-        instance.configure(makeConfiguration(1, defaultPolicy()));
+        instance.configure(makeConfiguration(1, defaultPolicy("p")));
         forgetLearned(*instance.state, instance.now);
         instance.advanceBy(10min);
         CPPUNIT_ASSERT_EQUAL(std::string("leaving"), instance.statusOf("b0").state);
-        instance.configure(makeConfiguration(0, defaultPolicy()));
-        instance.configure(makeConfiguration(1, defaultPolicy()));
+        instance.configure(makeConfiguration(0, defaultPolicy("p")));
+        instance.configure(makeConfiguration(1, defaultPolicy("p")));
         CPPUNIT_ASSERT(instance.statusOf("b0").state != "leaving");
     }
 
@@ -139,7 +139,7 @@
     void probesStayWithinTheBudget()
     {
         std::mt19937_64 random(3);
-        Policy policy = defaultPolicy();
+        Policy policy = defaultPolicy("p");
         policy.probeBudget = 5;
         const Configuration configuration = makeConfiguration(8, policy);
         std::vector<std::unique_ptr<Instance>> fleet;
@@ -181,7 +181,7 @@
     // of peers that keep an old mark alive.
     void hintsCarryFreshLoadAndLeavingMarks()
     {
-        Instance instance(makeConfiguration(3, defaultPolicy()));
+        Instance instance(makeConfiguration(3, defaultPolicy("p")));
         instance.submit();
         const std::string server = instance.lastStart().backendServer;
         instance.finish(instance.lastStart().attempt, AttemptStatus::Answered, 200,
@@ -196,8 +196,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, collectHints(*instance.state, instance.now, 1).size());
         instance.advanceBy(1s);
         LoadHint oldMark = collectHints(*instance.state, instance.now, 10)[0];
-        instance.configure(makeConfiguration(0, defaultPolicy()));
-        instance.configure(makeConfiguration(3, defaultPolicy()));
+        instance.configure(makeConfiguration(0, defaultPolicy("p")));
+        instance.configure(makeConfiguration(3, defaultPolicy("p")));
         applyLoadHint(*instance.state, oldMark, instance.now);
         CPPUNIT_ASSERT(instance.statusOf(leaving).state != "leaving");
     }
--- a/packages/routing/tests/outliertest.cpp
+++ b/packages/routing/tests/outliertest.cpp
@@ -40,7 +40,7 @@
     // Guards against a fault of all backend servers that leaves only a few to take the load.
     void ejectedShareIsCapped()
     {
-        Instance instance(makeConfiguration(8, defaultPolicy()));
+        Instance instance(makeConfiguration(8, defaultPolicy("p")));
         run(instance, 300, [](const AttemptStart &) {
             return std::pair(AttemptStatus::ConnectionLost, Duration(1ms));
         });
@@ -55,7 +55,7 @@
     // that stays out for hours.
     void ejectionTimeDoublesUpToALimit()
     {
-        Policy policy = defaultPolicy();
+        Policy policy = defaultPolicy("p");
         policy.probeBudget = 0;
         Instance instance(makeConfiguration(4, policy));
         const auto behaviour = [](const AttemptStart &start) {
@@ -84,7 +84,7 @@
     // of zero leaves the load estimate alone to keep requests away.
     void fastFailuresDoNotAttractLoad()
     {
-        Policy policy = defaultPolicy();
+        Policy policy = defaultPolicy("p");
         policy.maxEjected = 0;
         Instance instance(makeConfiguration(8, policy));
         std::size_t failing = 0;
@@ -118,7 +118,7 @@
     // Guards against a slow backend server that spoils the tail, and against losing it for ever.
     void stragglerIsEjectedAndReturns()
     {
-        Instance instance(makeConfiguration(8, defaultPolicy()));
+        Instance instance(makeConfiguration(8, defaultPolicy("p")));
         run(instance, 200,
             [](const AttemptStart &) { return std::pair(AttemptStatus::Answered, Duration(5ms)); });
         const auto attempts = run(instance, 300, [](const AttemptStart &start) {
@@ -136,7 +136,7 @@
     // Guards against requests that fail although a backend server is left to try.
     void ejectionNeverLeavesNoCandidate()
     {
-        Policy policy = defaultPolicy();
+        Policy policy = defaultPolicy("p");
         policy.maxEjected = 1;
         Instance instance(makeConfiguration(2, policy));
         run(instance, 40, [](const AttemptStart &) {
@@ -152,7 +152,7 @@
     // requests at a time then take twice as long as one.
     void limitFollowsLostCapacity()
     {
-        Policy policy = defaultPolicy();
+        Policy policy = defaultPolicy("p");
         policy.hedgeQuantile = 1;
         Instance instance(makeConfiguration(1, policy, 2));
         std::size_t finished = 0;
--- a/packages/routing/tests/queuetest.cpp
+++ b/packages/routing/tests/queuetest.cpp
@@ -31,7 +31,7 @@
     // Guards against a rake command that waits behind reports.
     void actionsGoBeforeLookups()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy(), 1));
+        Instance instance(makeConfiguration(1, defaultPolicy("p"), 1));
         const AttemptId filler = fill(instance);
         instance.submit(lookup, 100ms);
         const RequestId late = instance.submit(action, 5s);
@@ -42,7 +42,7 @@
     // Guards against arrival order, which lets urgent requests expire.
     void earlierDeadlineGoesFirst()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy(), 1));
+        Instance instance(makeConfiguration(1, defaultPolicy("p"), 1));
         const AttemptId filler = fill(instance);
         instance.submit(lookup, 900ms);
         const RequestId urgent = instance.submit(lookup, 100ms);
@@ -53,7 +53,7 @@
     // Guards against memory and waiting time that grow with the load.
     void queueIsBounded()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy(), 1));
+        Instance instance(makeConfiguration(1, defaultPolicy("p"), 1));
         fill(instance);
         for (int i = 0; i < 500; ++i)
             instance.submit();
@@ -65,7 +65,7 @@
     // Guards against an action that is refused because lookups fill the queue.
     void actionTakesThePlaceOfALookup()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy(), 1));
+        Instance instance(makeConfiguration(1, defaultPolicy("p"), 1));
         fill(instance);
         for (int i = 0; i < 63; ++i)
             instance.submit(lookup, 500ms);
@@ -78,7 +78,7 @@
     // Guards against one caller that keeps all others out.
     void callerCannotHoldTheWholeQueue()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy(), 1));
+        Instance instance(makeConfiguration(1, defaultPolicy("p"), 1));
         fill(instance);
         for (int i = 0; i < 100; ++i)
             instance.submit(lookup, 1s, "greedy");
@@ -91,7 +91,7 @@
     // Guards against a caller that always wins with short deadlines.
     void callersTakeTurns()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy(), 1));
+        Instance instance(makeConfiguration(1, defaultPolicy("p"), 1));
         AttemptId running = fill(instance);
         std::set<RequestId> patient;
         for (int i = 0; i < 10; ++i) {
@@ -110,7 +110,7 @@
     // Guards against requests that wait for longer than their callers.
     void waitingRequestExpires()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy(), 1));
+        Instance instance(makeConfiguration(1, defaultPolicy("p"), 1));
         fill(instance);
         const RequestId request = instance.submit(action, 30ms);
         instance.advanceBy(29ms);
@@ -124,7 +124,7 @@
     // the load is gone.
     void unmeetableDeadlineIsRefusedEarly()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy(), 1));
+        Instance instance(makeConfiguration(1, defaultPolicy("p"), 1));
         instance.serve(30, 10ms);
         AttemptId running = fill(instance);
         for (int i = 0; i < 30; ++i)
@@ -148,7 +148,7 @@
     // Guards against requests that wait for a service that is gone.
     void removedServiceFailsItsWaitingRequests()
     {
-        Instance instance(makeConfiguration(1, defaultPolicy(), 1));
+        Instance instance(makeConfiguration(1, defaultPolicy("p"), 1));
         const AttemptId filler = fill(instance);
         const RequestId waiting = instance.submit();
         instance.configure(Configuration());
