--- a/packages/caller/src/listener.cpp
+++ b/packages/caller/src/listener.cpp
@@ -236,7 +236,9 @@
         .incoming_http_msg_limits(limits)
         .max_parallel_connections(parameters.maxConnections)
         .max_pipelined_requests(pipelinedRequests)
-        .concurrent_accepts_count(parameters.threads)
+        // RESTinio 0.6.16 counts connection ids without a lock, so that concurrent accepts race and
+        // two connections may get the same id.
+        .concurrent_accepts_count(1)
         .read_next_http_message_timelimit(parameters.idleTimeout)
         .write_http_response_timelimit(parameters.answerTimeout)
         .handle_request_timeout(parameters.answerTimeout)
