Peer: Find the link of a forward without building a list

Cause: each forwarded request and each answer built a list of all links, one reference count a link, to find one. Change: linkTo() walks the links directly; isEstablished() is the condition that both share. Conclusion: the same link is found, without work that grows by an allocation for each forward.

--- a/packages/peer/src/meshprivate.cpp
+++ b/packages/peer/src/meshprivate.cpp
@@ -17,6 +17,11 @@
     return message;
 }
 
+bool isEstablished(const Link &link)
+{
+    return link.peer.has_value() && !link.isClosed();
+}
+
 } // namespace
 
 Mesh::Private::Private(Parameters parametersIn, Callbacks callbacksIn)
@@ -347,8 +352,8 @@
 
 std::shared_ptr<Link> Mesh::Private::linkTo(IncarnationId incarnation) const
 {
-    for (const auto &link : establishedLinks()) {
-        if (link->peer->incarnation == incarnation)
+    for (const auto &[id, link] : links) {
+        if (isEstablished(*link) && link->peer->incarnation == incarnation)
             return link;
     }
     return nullptr;
@@ -366,7 +371,7 @@
 {
     std::vector<std::shared_ptr<Link>> established;
     for (const auto &[id, link] : links) {
-        if (link->peer && !link->isClosed())
+        if (isEstablished(*link))
             established.push_back(link);
     }
     return established;
