Cli: Explain a request from the logs of all instances

Adds 'apricotrock explain REQUEST-ID [FILE...]'. The story has every decision with its inputs, and what the instances that decided believed shortly before.

Refusals tell the waiting asks and the slots that decided them, grants the slots of the server. A change of the holder of a service's slots has a line, and refused hedges have a counter for each reason.

Requests that were sent twice, and those whose caller left, lost their lines to the thinning of ordinary requests (found by reading; the new test failed before). They keep them now.

--- a/packages/broker/src/dispatch.cpp
+++ b/packages/broker/src/dispatch.cpp
@@ -132,16 +132,8 @@
     decision.server = server.info.key;
     decision.expected = toDuration(choice.seconds);
     decision.reportAge = server.report ? now - server.reported : Duration(-1);
-    return decision;
-}
-
-Decision refuse(const Ask &request, RefusalReason reason, Duration retryAfter)
-{
-    Decision decision;
-    decision.key = request.key;
-    decision.verdict = Verdict::Refused;
-    decision.reason = reason;
-    decision.retryAfter = std::clamp(retryAfter, minRetryAfter, maxRetryAfter);
+    decision.slots = server.info.slots;
+    decision.taken = static_cast<unsigned>(server.occupants.size());
     return decision;
 }
 
@@ -167,6 +159,20 @@
     return slots;
 }
 
+Decision refuse(const ServiceState &state, const Ask &request, RefusalReason reason,
+                Duration retryAfter, TimePoint now)
+{
+    Decision decision;
+    decision.key = request.key;
+    decision.verdict = Verdict::Refused;
+    decision.reason = reason;
+    decision.retryAfter = std::clamp(retryAfter, minRetryAfter, maxRetryAfter);
+    decision.slots = usableSlots(state);
+    decision.taken = decision.slots - std::min(decision.slots, freeSlots(state, now));
+    decision.waiting = static_cast<unsigned>(state.queue.size());
+    return decision;
+}
+
 /// Time until the waiting asks have been started, if no further ones come.
 Duration drainTime(const ServiceState &state)
 {
@@ -260,9 +266,9 @@
     const bool hasRoom = freeSlots(state, now) > hedgeFreeShare * usableSlots(state);
     const bool isUseful = choice.server && now + toDuration(choice.seconds) < request.deadline;
     if (!hasRoom || !isUseful)
-        return refuse(request, RefusalReason::HedgeNotUseful, {});
+        return refuse(state, request, RefusalReason::HedgeNotUseful, {}, now);
     if (!takeRetry(state.budget, state.policy, slackShare(state, now), now))
-        return refuse(request, RefusalReason::RetryBudget, {});
+        return refuse(state, request, RefusalReason::RetryBudget, {}, now);
     return grant(state, request, choice, now);
 }
 
@@ -298,25 +304,25 @@
     if (const auto repeated = repeatedAnswer(state, request, now))
         return *repeated;
     if (isQuarantined(state, request.fingerprint, now))
-        return refuse(request, RefusalReason::Quarantined, maxRetryAfter);
+        return refuse(state, request, RefusalReason::Quarantined, maxRetryAfter, now);
     if (request.isHedge)
         return askHedge(state, request, now);
     if (request.earlierAttempts == 0)
         countRequest(state.budget, state.policy, now);
     if (usableSlots(state) == 0)
-        return refuse(request, RefusalReason::NoServer, maxRetryAfter);
+        return refuse(state, request, RefusalReason::NoServer, maxRetryAfter, now);
     if (!fitsDeadline(state, request, now))
-        return refuse(request, RefusalReason::DeadlineUnmeetable, minRetryAfter);
+        return refuse(state, request, RefusalReason::DeadlineUnmeetable, minRetryAfter, now);
     if (request.earlierAttempts > 0
         && !takeRetry(state.budget, state.policy, slackShare(state, now), now))
-        return refuse(request, RefusalReason::RetryBudget, drainTime(state));
+        return refuse(state, request, RefusalReason::RetryBudget, drainTime(state), now);
     expireOccupants(state, now);
     if (state.queue.empty()) {
         if (const auto decision = tryStart(state, request, now))
             return *decision;
     }
     if (state.queue.size() >= queuePerSlot * usableSlots(state))
-        return refuse(request, RefusalReason::QueueFull, drainTime(state));
+        return refuse(state, request, RefusalReason::QueueFull, drainTime(state), now);
     state.queue.push_back(request);
     Decision decision;
     decision.key = request.key;
@@ -338,7 +344,7 @@
     for (const Ask &each : state.queue) {
         if (!fitsDeadline(state, each, now)) {
             decisions.push_back(
-                refuse(each, RefusalReason::DeadlineUnmeetable, drainTime(state) / 2));
+                refuse(state, each, RefusalReason::DeadlineUnmeetable, drainTime(state) / 2, now));
             continue;
         }
         std::optional<Decision> decision;
@@ -348,7 +354,8 @@
             ++slots;
             decisions.push_back(*decision);
         } else if (!isInTime(state, each, now) && ++late > maxLate) {
-            decisions.push_back(refuse(each, RefusalReason::QueueFull, drainTime(state)));
+            decisions.push_back(
+                refuse(state, each, RefusalReason::QueueFull, drainTime(state), now));
         } else {
             waiting.push_back(each);
         }
--- a/packages/cli/include/apricotrock/cli.h
+++ b/packages/cli/include/apricotrock/cli.h
@@ -46,6 +46,7 @@
 {
     std::ostream &out;
     std::ostream &err;
+    std::istream &in;
     std::function<std::unique_ptr<ConfigStream>(const std::string &logUrl,
                                                 std::chrono::milliseconds timeout)>
         openStream;
@@ -59,7 +60,7 @@
 };
 
 /// Returns an environment that uses the network.
-Environment networkEnvironment(std::ostream &out, std::ostream &err);
+Environment networkEnvironment(std::ostream &out, std::ostream &err, std::istream &in);
 
 /// Runs one command; \a arguments does not hold the program name.
 ExitCode runCommand(const std::vector<std::string> &arguments, const Environment &environment);
--- a/packages/cli/src/cli.cpp
+++ b/packages/cli/src/cli.cpp
@@ -22,6 +22,7 @@
     PublishOptions publish;
     DrainOptions drain;
     TraceOptions trace;
+    ExplainOptions explain;
     std::string diffFile;
     std::string replayFile;
     std::string quarantineId;
@@ -136,6 +137,13 @@
             m_app, "replay", "Run a trace and check its expected outcomes",
             [&](const Context &context) { return runReplay(context, arguments.replayFile); });
         replay->add_option("TRACE", arguments.replayFile, "Trace file (JSON lines)")->required();
+        CLI::App *explain = addCommand(
+            m_app, "explain", "Tell what happened to one request, from the logs of instances",
+            [&](const Context &context) { return runExplain(context, arguments.explain); });
+        explain->add_option("REQUEST-ID", arguments.explain.request, "Id that the caller sent")
+            ->required();
+        explain->add_option("FILE", arguments.explain.files,
+                            "Logs of apricotrock-gateway; standard input without any");
     }
 
     void addLogCommands()
--- a/packages/cli/src/commands.h
+++ b/packages/cli/src/commands.h
@@ -55,6 +55,13 @@
     std::string file;
 };
 
+struct ExplainOptions
+{
+    std::string request;
+    /// Empty: standard input.
+    std::vector<std::string> files;
+};
+
 ExitCode runCheck(const Context &context, const CheckOptions &options);
 ExitCode runPublish(const Context &context, const PublishOptions &options);
 ExitCode runDiff(const Context &context, const std::string &file);
@@ -62,6 +69,7 @@
 ExitCode runStatus(const Context &context);
 ExitCode runDrain(const Context &context, const DrainOptions &options);
 ExitCode runTrace(const Context &context, const TraceOptions &options);
+ExitCode runExplain(const Context &context, const ExplainOptions &options);
 ExitCode runReplay(const Context &context, const std::string &file);
 ExitCode runQuarantineList(const Context &context);
 ExitCode runQuarantineClear(const Context &context, const std::string &id);
--- a/packages/cli/src/main.cpp
+++ b/packages/cli/src/main.cpp
@@ -7,7 +7,7 @@
     using namespace apricotrock::cli;
     const std::vector<std::string> arguments(argv + (argc > 0 ? 1 : 0), argv + argc);
     try {
-        const Environment environment = networkEnvironment(std::cout, std::cerr);
+        const Environment environment = networkEnvironment(std::cout, std::cerr, std::cin);
         const ExitCode code = runCommand(arguments, environment);
         std::cout.flush();
         if (!std::cout) {
--- a/packages/cli/src/network.cpp
+++ b/packages/cli/src/network.cpp
@@ -86,11 +86,12 @@
 
 } // namespace
 
-Environment networkEnvironment(std::ostream &out, std::ostream &err)
+Environment networkEnvironment(std::ostream &out, std::ostream &err, std::istream &in)
 {
     curl_global_init(CURL_GLOBAL_DEFAULT);
     return {out,
             err,
+            in,
             [](const std::string &logUrl, std::chrono::milliseconds timeout) {
                 return std::make_unique<NetworkStream>(logUrl, timeout);
             },
--- a/packages/cli/tests/clitest.cpp
+++ b/packages/cli/tests/clitest.cpp
@@ -81,6 +81,8 @@
     CPPUNIT_TEST(drainChangesOnlyTheState);
     CPPUNIT_TEST(statusShowsDifferentConfigurations);
     CPPUNIT_TEST(malformedAnswersNeverCrash);
+    CPPUNIT_TEST(storiesOfRequestsMatchGoldenFiles);
+    CPPUNIT_TEST(requestWithoutLinesIsNotExplained);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -139,6 +141,31 @@
         CPPUNIT_ASSERT(m_output.find("awa") != std::string::npos);
     }
 
+    // Guards against a story that leaves out a decision, its inputs, or the state behind it, and
+    // against lines of other requests in it.
+    void storiesOfRequestsMatchGoldenFiles()
+    {
+        const std::string first = dataDir + "explain/first.log";
+        const std::string second = dataDir + "explain/second.log";
+        for (const std::string request : {"lost", "refused", "unfinished"}) {
+            CPPUNIT_ASSERT_EQUAL(0, run({"explain", request, first, second}));
+            std::ostringstream expected;
+            expected << std::ifstream(dataDir + "explain/" + request + ".txt").rdbuf();
+            CPPUNIT_ASSERT_EQUAL(expected.str(), m_output);
+        }
+    }
+
+    // Guards against an empty story that reads as "nothing happened".
+    void requestWithoutLinesIsNotExplained()
+    {
+        m_input = R"({"time":1.0,"level":"info","event":"request_routed","request":"other"})";
+        CPPUNIT_ASSERT_EQUAL(1, run({"explain", "lost"}));
+        CPPUNIT_ASSERT(m_errors.find("no line is about request lost") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(0, run({"explain", "other"}));
+        CPPUNIT_ASSERT(m_output.find("no line tells its end") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(2, run({"explain", "lost", dataDir + "explain/none.log"}));
+    }
+
     // Guards against the later of two operators being told that it won.
     void loserOfARaceIsTold()
     {
@@ -249,8 +276,10 @@
     {
         std::ostringstream out;
         std::ostringstream err;
+        std::istringstream in(m_input);
         const Environment environment{out,
                                       err,
+                                      in,
                                       [this](const std::string &, std::chrono::milliseconds) {
                                           return std::make_unique<FakeStream>(m_log);
                                       },
@@ -279,6 +308,7 @@
     FakeLog m_log;
     HttpResponse m_answer;
     std::string m_secondBody;
+    std::string m_input;
     std::string m_output;
     std::string m_errors;
 };
--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -28,6 +28,19 @@
 /// Least time that is worth an attempt.
 constexpr Duration minAttemptTime = milliseconds(10);
 
+std::string_view deciderName(DecidedBy by)
+{
+    switch (by) {
+    case DecidedBy::Self:
+        return "self";
+    case DecidedBy::Peer:
+        return "peer";
+    case DecidedBy::Fallback:
+        return "fallback";
+    }
+    return "";
+}
+
 constexpr std::array<int, 4> notRunStatuses = {408, 421, 429, 503};
 
 bool promisesNotRun(int status)
@@ -128,11 +141,10 @@
     note(EventLog::Level::Info, "slot_granted", [&](LogLine &line) {
         line.text("server", isKnown ? attempt.server.id : "unknown")
             .text("holder", decision.holder)
-            .text("decided",
-                  decision.by == DecidedBy::Peer       ? "peer"
-                      : decision.by == DecidedBy::Self ? "self"
-                                                       : "fallback")
+            .text("decided", deciderName(decision.by))
             .flag("hedge", isHedge)
+            .number("taken", slot.taken)
+            .number("slots", slot.slots)
             .milliseconds("expected", slot.expected)
             .milliseconds("report_age", slot.reportAge)
             .milliseconds("waited", attempt.started - m_plan.arrived)
@@ -163,13 +175,19 @@
     if (m_isOver)
         return;
     if (isHedge) {
+        m_path.countHedgeRefusal(broker::reasonName(slot.reason));
         armHedge(hedgeRepeat);
         return;
     }
     note(EventLog::Level::Warning, "slot_refused", [&](LogLine &line) {
         line.text("reason", broker::reasonName(slot.reason))
             .text("holder", decision.holder)
+            .text("decided", deciderName(decision.by))
+            .number("waiting", slot.waiting)
+            .number("taken", slot.taken)
+            .number("slots", slot.slots)
             .milliseconds("retry_after", slot.retryAfter)
+            .milliseconds("waited", Clock::now() - m_plan.arrived)
             .number("server_position",
                     static_cast<std::int64_t>(m_path.m_context.servers.position()));
     });
@@ -396,7 +414,7 @@
         return;
     }
     m_isOver = true;
-    m_path.m_context.log.addLines(m_lines, true);
+    m_path.m_context.log.addLines(m_lines, false);
     m_lines.clear();
 }
 
@@ -428,7 +446,7 @@
         headers.emplace_back(name, value);
     }
     const Duration latency = Clock::now() - m_plan.arrived;
-    const bool isOrdinary = response.status < 500 && latency < m_plan.objective;
+    const bool isOrdinary = response.status < 500 && latency < m_plan.objective && m_sent <= 1;
     note(EventLog::Level::Info, "request_answered", [&](LogLine &line) {
         line.number("status", response.status)
             .text("server", index < m_attempts.size() ? m_attempts[index].server.id : "")
@@ -495,10 +513,8 @@
     m_askingHedge.reset();
     cancelAttempts(isDeadline ? broker::AttemptOutcome::TimedOut
                               : broker::AttemptOutcome::Cancelled);
-    if (!m_lines.empty()) {
-        m_path.m_context.log.addLines(m_lines, true);
-        m_lines.clear();
-    }
+    m_path.m_context.log.addLines(m_lines, false);
+    m_lines.clear();
 }
 
 } // namespace apricotrock::gateway
--- a/packages/gateway/src/requestpath.cpp
+++ b/packages/gateway/src/requestpath.cpp
@@ -47,6 +47,14 @@
         .add();
 }
 
+void RequestPath::countHedgeRefusal(std::string_view reason)
+{
+    m_context
+        .counter("hedges_refused_total", "Second attempts that were not granted, by reason.",
+                 {{"reason", std::string(reason)}})
+        .add();
+}
+
 void RequestPath::recordLatency(Duration latency)
 {
     m_context.metrics
--- a/packages/gateway/src/requestpath.h
+++ b/packages/gateway/src/requestpath.h
@@ -33,6 +33,7 @@
     void refuse(const std::shared_ptr<loop::HttpServerConnection> &connection, int status,
                 std::string_view reason, std::string_view text);
     void countAnswer(int status, std::string_view reason);
+    void countHedgeRefusal(std::string_view reason);
     void recordLatency(Duration latency);
 
     Context &m_context;
--- a/packages/gateway/src/slotdesk.cpp
+++ b/packages/gateway/src/slotdesk.cpp
@@ -129,7 +129,16 @@
 
 void SlotDesk::refreshDuty(Book &book, TimePoint now)
 {
-    book.holder = m_context.membership.holderOf("slots/" + book.service, false, now);
+    std::string holder = m_context.membership.holderOf("slots/" + book.service, false, now);
+    if (holder != book.holder) {
+        m_context.log.write(EventLog::Level::Info, "slot_holder_changed", [&](LogLine &line) {
+            line.text("service", book.service)
+                .text("holder", holder)
+                .text("before", book.holder)
+                .number("alive", static_cast<std::int64_t>(m_context.membership.aliveCount()));
+        });
+        book.holder = std::move(holder);
+    }
     const bool isLeading =
         book.holder == m_context.settings.ip || now - book.askedByPeer < peerAskMemory;
     if (isLeading && !book.state.isLeading)
@@ -339,13 +348,14 @@
 
 void SlotDesk::sendAnswer(const std::string &ip, const broker::Decision &decision)
 {
-    m_peers.sendAnswer(ip,
-                       {decision.key.ticket, decision.server,
-                        static_cast<std::uint32_t>(toMicroseconds(decision.expected)),
-                        static_cast<std::uint32_t>(toMicroseconds(decision.retryAfter)),
-                        toMicroseconds(decision.reportAge),
-                        static_cast<std::uint8_t>(decision.verdict),
-                        static_cast<std::uint8_t>(decision.reason)});
+    m_peers.sendAnswer(
+        ip,
+        {decision.key.ticket, decision.server,
+         static_cast<std::uint32_t>(toMicroseconds(decision.expected)),
+         static_cast<std::uint32_t>(toMicroseconds(decision.retryAfter)),
+         toMicroseconds(decision.reportAge), static_cast<std::uint8_t>(decision.verdict),
+         static_cast<std::uint8_t>(decision.reason), static_cast<std::uint16_t>(decision.slots),
+         static_cast<std::uint16_t>(decision.taken), static_cast<std::uint16_t>(decision.waiting)});
 }
 
 void SlotDesk::handleAsk(const std::string &ip, const wire::SlotAsk &message)
@@ -380,6 +390,9 @@
     decision.expected = microseconds(answer.expected_us());
     decision.retryAfter = microseconds(answer.retry_after_us());
     decision.reportAge = microseconds(answer.report_age_us());
+    decision.slots = answer.slots();
+    decision.taken = answer.taken();
+    decision.waiting = answer.waiting();
     const std::uint64_t ticket = answer.ticket();
     const auto found = m_waiting.find(ticket);
     const bool isExpected = found != m_waiting.end() && found->second.holder == ip;
--- a/packages/wire/include/apricotrock/gateway_generated.h
+++ b/packages/wire/include/apricotrock/gateway_generated.h
@@ -166,7 +166,10 @@
   int32_t report_age_us_;
   uint8_t verdict_;
   uint8_t reason_;
-  int16_t padding0__;
+  uint16_t slots_;
+  uint16_t taken_;
+  uint16_t waiting_;
+  int32_t padding0__;
 
  public:
   struct Traits;
@@ -178,10 +181,13 @@
         report_age_us_(0),
         verdict_(0),
         reason_(0),
+        slots_(0),
+        taken_(0),
+        waiting_(0),
         padding0__(0) {
     (void)padding0__;
   }
-  SlotAnswer(uint64_t _ticket, uint64_t _server, uint32_t _expected_us, uint32_t _retry_after_us, int32_t _report_age_us, uint8_t _verdict, uint8_t _reason)
+  SlotAnswer(uint64_t _ticket, uint64_t _server, uint32_t _expected_us, uint32_t _retry_after_us, int32_t _report_age_us, uint8_t _verdict, uint8_t _reason, uint16_t _slots, uint16_t _taken, uint16_t _waiting)
       : ticket_(flatbuffers::EndianScalar(_ticket)),
         server_(flatbuffers::EndianScalar(_server)),
         expected_us_(flatbuffers::EndianScalar(_expected_us)),
@@ -189,6 +195,9 @@
         report_age_us_(flatbuffers::EndianScalar(_report_age_us)),
         verdict_(flatbuffers::EndianScalar(_verdict)),
         reason_(flatbuffers::EndianScalar(_reason)),
+        slots_(flatbuffers::EndianScalar(_slots)),
+        taken_(flatbuffers::EndianScalar(_taken)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
         padding0__(0) {
     (void)padding0__;
   }
@@ -213,8 +222,17 @@
   uint8_t reason() const {
     return flatbuffers::EndianScalar(reason_);
   }
+  uint16_t slots() const {
+    return flatbuffers::EndianScalar(slots_);
+  }
+  uint16_t taken() const {
+    return flatbuffers::EndianScalar(taken_);
+  }
+  uint16_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
 };
-FLATBUFFERS_STRUCT_END(SlotAnswer, 32);
+FLATBUFFERS_STRUCT_END(SlotAnswer, 40);
 
 struct SlotAnswer::Traits {
   using type = SlotAnswer;
--- a/tests/testmain.cpp
+++ b/tests/testmain.cpp
@@ -4,10 +4,11 @@
 
 #include <iostream>
 
-int main()
+/// Runs all tests, or those of the path that is given, such as `GatewayTest::drainIsKnownEverywhere`.
+int main(int argc, char **argv)
 {
     CppUnit::TextUi::TestRunner runner;
     runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
     runner.setOutputter(new CppUnit::CompilerOutputter(&runner.result(), std::cerr));
-    return runner.run("", false, true, false) ? 0 : 1;
+    return runner.run(argc > 1 ? argv[1] : "", false, true, false) ? 0 : 1;
 }
