Backend: Stop watching a connecting socket before its attempt is cancelled

Cause: libcurl closes a socket that is still connecting without the close callback (it was never published), and reports CURL_POLL_REMOVE after that.

Ruled out: another close path of the table; the trace shows forget() called from watch(), so the number was still in the set of watched sockets.

--- a/packages/backend/src/sender.cpp
+++ b/packages/backend/src/sender.cpp
@@ -92,6 +92,8 @@
     void readResults();
     void cancelAll();
     std::unique_ptr<Transfer> release(CURL *easy);
+    /// Releases a transfer that is not finished, which closes its connection.
+    std::unique_ptr<Transfer> abandon(CURL *easy);
     EasyPtr takeEasy();
     [[nodiscard]] ConnectionPolicy policy(const Transfer &transfer) const;
 
@@ -245,8 +247,7 @@
     const auto found = byAttempt.find(attempt);
     if (found == byAttempt.end())
         return;
-    // Removing an unfinished transfer closes its connection.
-    const auto transfer = release(found->second);
+    const auto transfer = abandon(found->second);
     byAttempt.erase(found);
     reportCancelled(std::get<AttemptOrder>(transfer->order()), transfer->latency(Clock::now()));
     spareHandles.push_back(transfer->takeEasy());
@@ -268,13 +269,21 @@
             reportCancelled(*order, Duration::zero());
     }
     while (!transfers.empty()) {
-        const auto transfer = release(transfers.begin()->first);
+        const auto transfer = abandon(transfers.begin()->first);
         if (const auto *order = std::get_if<AttemptOrder>(&transfer->order()))
             reportCancelled(*order, transfer->latency(Clock::now()));
     }
     byAttempt.clear();
 }
 
+std::unique_ptr<Transfer> Sender::Private::abandon(CURL *easy)
+{
+    // libcurl closes a socket that is still connecting without a callback, and reports that it is no
+    // longer watched after that, when its number may belong to another thread.
+    loop.forget(transfers.at(easy)->connectingSocket());
+    return release(easy);
+}
+
 std::unique_ptr<Transfer> Sender::Private::release(CURL *easy)
 {
     curl_multi_remove_handle(loop.multi(), easy);
--- a/packages/backend/src/transfer.h
+++ b/packages/backend/src/transfer.h
@@ -58,6 +58,11 @@
     [[nodiscard]] bool isReusedConnection() const { return m_isReusedConnection; }
     [[nodiscard]] Duration latency(TimePoint now) const { return now - m_started; }
     [[nodiscard]] routing::AttemptStatus status(CURLcode code) const;
+    /// The socket of a connection that is not ready yet, or CURL_SOCKET_BAD.
+    [[nodiscard]] curl_socket_t connectingSocket() const
+    {
+        return m_isRequestStarted ? CURL_SOCKET_BAD : m_openedSocket;
+    }
     AnswerReader &reader() { return m_reader; }
 
 private:
