Peers: Hand news on along a tree, and compress them

Cause: on the grown fleet of 133 instances the reader sent each news of servers to 39 instances itself. Besides, heartbeats told of a change before the news that were handed on arrived, which looked like a lost datagram.

Now an instance hands news and zone reports on to four others of its zone at most, in two trees without a common inner instance, so that one that is lost keeps nobody from the news. News are compressed by zlib (records are text and much alike). An instance that is behind waits 100 ms for the news before it reads the store.

Measured: the trees by a unit test over 34 instances with each one lost in turn.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -199,6 +199,11 @@
     TimePoint beaten;
 };
 
+/// Order in which the instances of an availability zone hand on a message, as a tree. Those that
+/// hand on in one order are leaves in the other, so that a message sent in both reaches every
+/// instance although one is lost.
+enum class RelayOrder : std::uint8_t { None, Ascending, Descending };
+
 /// The other instances, by IP number.
 class Membership
 {
@@ -223,6 +228,10 @@
     [[nodiscard]] bool usesZoneReports() const;
     /// Returns the live instances of \a availabilityZone in a fixed order.
     [[nodiscard]] std::vector<InstanceInfo> zone(std::string_view availabilityZone) const;
+    /// Returns the instance of \a availabilityZone that gets a message first, or an empty text.
+    [[nodiscard]] std::string relayRoot(std::string_view availabilityZone, RelayOrder order) const;
+    /// Returns the instances of the own zone that this instance hands a message on to.
+    [[nodiscard]] std::vector<std::string> relayTargets(RelayOrder order) const;
     void suspect(const std::string &ip, Duration length, TimePoint now);
     /// Returns the instances that fell silent.
     std::vector<std::string> expire(TimePoint now);
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -16,6 +16,9 @@
 constexpr Duration reportSilenceLimit = milliseconds(4500);
 /// Fleets up to this size send heartbeats from each instance to each other one.
 constexpr std::size_t fullMeshInstances = 24;
+/// Instances to which one instance hands a message on. A few, so that a burst of large messages
+/// fits the queue of a small link.
+constexpr std::size_t relayFanOut = 4;
 /// A dead instance is forgotten after this; it announces itself if it comes back.
 constexpr Duration forgetAfter = seconds(60);
 
@@ -90,6 +93,30 @@
     return instances;
 }
 
+std::string Membership::relayRoot(std::string_view availabilityZone, RelayOrder order) const
+{
+    const std::vector<InstanceInfo> instances = zone(availabilityZone);
+    if (instances.empty())
+        return {};
+    return order == RelayOrder::Ascending ? instances.front().ip : instances.back().ip;
+}
+
+std::vector<std::string> Membership::relayTargets(RelayOrder order) const
+{
+    std::vector<InstanceInfo> instances = zone(m_self.availabilityZone);
+    if (order == RelayOrder::Descending)
+        std::reverse(instances.begin(), instances.end());
+    std::vector<std::string> targets;
+    const auto self =
+        std::find_if(instances.begin(), instances.end(),
+                     [this](const InstanceInfo &each) { return each.ip == m_self.ip; });
+    const auto index = static_cast<std::size_t>(self - instances.begin());
+    const std::size_t first = index * relayFanOut + 1;
+    for (std::size_t i = first; i < std::min(first + relayFanOut, instances.size()); ++i)
+        targets.push_back(instances[i].ip);
+    return targets;
+}
+
 void Membership::hearZone(const std::string &availabilityZone,
                           const std::vector<InstanceInfo> &instances, TimePoint now)
 {
--- a/packages/fleet/tests/membershiptest.cpp
+++ b/packages/fleet/tests/membershiptest.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace apricotrock;
 using namespace apricotrock::fleet;
@@ -41,6 +42,7 @@
     CPPUNIT_TEST(readerMustReachTheStore);
     CPPUNIT_TEST(zoneReportReplacesHeartbeats);
     CPPUNIT_TEST(instanceMissingFromTheReportIsLost);
+    CPPUNIT_TEST(relayReachesEveryInstanceAlthoughOneIsLost);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -166,6 +168,39 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(30), membership.aliveCount());
     }
 
+    // Guards against news that do not reach an instance because another one is lost, and against
+    // one instance that sends to all the others.
+    void relayReachesEveryInstanceAlthoughOneIsLost()
+    {
+        std::vector<std::string> ips;
+        for (int i = 0; i < 34; ++i)
+            ips.push_back("10.0.0." + std::to_string(i));
+        std::map<std::string, Membership> members;
+        for (const std::string &ip : ips) {
+            Membership &each = members.emplace(ip, makeInfo(ip)).first->second;
+            for (const std::string &other : ips)
+                each.hear(makeInfo(other), m_now);
+        }
+        const std::string zone = members.at(ips[0]).self().availabilityZone;
+        for (const std::string &lost : ips) {
+            std::set<std::string> reached;
+            for (const RelayOrder order : {RelayOrder::Ascending, RelayOrder::Descending}) {
+                std::vector<std::string> next{members.at(ips[0]).relayRoot(zone, order)};
+                while (!next.empty()) {
+                    const std::string ip = next.back();
+                    next.pop_back();
+                    if (ip == lost)
+                        continue;
+                    reached.insert(ip);
+                    const auto targets = members.at(ip).relayTargets(order);
+                    CPPUNIT_ASSERT(targets.size() <= 4);
+                    next.insert(next.end(), targets.begin(), targets.end());
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL(ips.size() - 1, reached.size());
+        }
+    }
+
 private:
     /// An instance that knows 30 instances of another zone through reports.
     Membership makeLargeFleet()
--- a/packages/gateway/src/peerchannel.cpp
+++ b/packages/gateway/src/peerchannel.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+using fleet::RelayOrder;
 using std::chrono::milliseconds;
 
 /// Interval in which heartbeats are due; an instance counts as silent after three and a half.
@@ -21,8 +22,6 @@
     milliseconds(0), milliseconds(150), milliseconds(400), milliseconds(900), milliseconds(2000)};
 /// Interval in which some instance is asked for those it knows, so that partial views heal.
 constexpr Duration exchangeInterval = milliseconds(4000);
-/// Instances of another zone that get a zone report; each hands it to its own zone.
-constexpr unsigned reportReceivers = 2;
 /// Instances that one datagram names; keeps it below the usual path MTU.
 constexpr std::size_t instancesPerDatagram = 30;
 
@@ -151,13 +150,34 @@
     }
 }
 
-void PeerChannel::sendToOwnZone(const wire::GatewayMessageT &message)
+std::set<std::string> PeerChannel::otherZones() const
 {
-    const fleet::InstanceInfo &self = m_context.membership.self();
+    std::set<std::string> zones;
     for (const auto &[ip, peer] : m_context.membership.peers()) {
-        if (peer.isAlive && peer.info.availabilityZone == self.availabilityZone)
-            send(ip, message);
+        if (peer.isAlive)
+            zones.insert(peer.info.availabilityZone);
     }
+    zones.erase(m_context.membership.self().availabilityZone);
+    return zones;
+}
+
+void PeerChannel::sendToZone(const std::string &availabilityZone, wire::GatewayMessageT &message)
+{
+    for (const RelayOrder order : {RelayOrder::Ascending, RelayOrder::Descending}) {
+        message.relay = static_cast<std::uint8_t>(order);
+        const std::string root = m_context.membership.relayRoot(availabilityZone, order);
+        if (root == m_context.settings.ip)
+            handOn(message);
+        else if (!root.empty())
+            send(root, message);
+    }
+}
+
+void PeerChannel::handOn(const wire::GatewayMessageT &message)
+{
+    const auto order = static_cast<RelayOrder>(message.relay);
+    for (const std::string &ip : m_context.membership.relayTargets(order))
+        send(ip, message);
 }
 
 void PeerChannel::broadcastNews(wire::GatewayMessageT &message)
@@ -166,15 +186,9 @@
         broadcast(message);
         return;
     }
-    sendToOwnZone(message);
-    message.for_zone = true;
-    const std::string &ownZone = m_context.membership.self().availabilityZone;
-    std::map<std::string, unsigned> told;
-    for (const auto &[ip, peer] : m_context.membership.peers()) {
-        if (peer.isAlive && peer.info.availabilityZone != ownZone
-            && told[peer.info.availabilityZone]++ < reportReceivers)
-            send(ip, message);
-    }
+    sendToZone(m_context.membership.self().availabilityZone, message);
+    for (const std::string &zone : otherZones())
+        sendToZone(zone, message);
 }
 
 void PeerChannel::announce()
@@ -250,17 +264,12 @@
         report->can_read_store = each.canReadStore;
         message.zone_report->instances.push_back(std::move(report));
     }
-    std::map<std::string, unsigned> told;
-    for (const auto &[ip, peer] : m_context.membership.peers()) {
-        if (peer.isAlive && peer.info.availabilityZone != self.availabilityZone
-            && told[peer.info.availabilityZone]++ < reportReceivers)
-            send(ip, message);
-    }
+    for (const std::string &zone : otherZones())
+        sendToZone(zone, message);
 }
 
-void PeerChannel::handleZoneReport(wire::GatewayMessageT &message)
+void PeerChannel::handleZoneReport(const wire::ZoneReportT &report)
 {
-    wire::ZoneReportT &report = *message.zone_report;
     std::vector<fleet::InstanceInfo> instances;
     for (const auto &each : report.instances) {
         fleet::InstanceInfo info;
@@ -273,10 +282,6 @@
         instances.push_back(std::move(info));
     }
     m_context.membership.hearZone(report.availability_zone, instances, Clock::now());
-    if (report.is_relayed)
-        return;
-    report.is_relayed = true;
-    sendToOwnZone(message);
 }
 
 void PeerChannel::askForInstances(TimePoint now, bool knowsAny)
@@ -371,7 +376,7 @@
         found->second.suspectUntil = {};
     }
     if (message.zone_report)
-        handleZoneReport(message);
+        handleZoneReport(*message.zone_report);
     for (const auto &each : message.instances)
         introduce(each->ip, each->availability_zone);
     for (const wire::SlotEnd &each : message.ends)
@@ -380,10 +385,8 @@
         m_handlers.ask(ip, each);
     for (const wire::SlotAnswer &each : message.answers)
         m_handlers.answer(ip, each);
-    if (message.for_zone) {
-        message.for_zone = false;
-        sendToOwnZone(message);
-    }
+    if (message.relay != static_cast<std::uint8_t>(RelayOrder::None))
+        handOn(message);
     if (message.tables)
         m_handlers.tables(ip, message);
 }
--- a/packages/gateway/src/peerchannel.h
+++ b/packages/gateway/src/peerchannel.h
@@ -4,6 +4,8 @@
 
 #include "apricotrock/gateway_generated.h"
 
+#include <set>
+
 namespace apricotrock::gateway {
 
 /// Datagrams between instances. What is queued in one turn of the event loop leaves in one
@@ -30,8 +32,8 @@
     void sendEnd(const std::string &ip, const wire::SlotEnd &end);
     /// Sends a message with the own state to every live instance.
     void broadcast(const wire::GatewayMessageT &message);
-    /// Sends news of tables to every live instance. In large fleets two instances of each other
-    /// availability zone get them and hand them on, so that the link of a small one suffices.
+    /// Sends news of tables to every live instance. In large fleets the instances of each
+    /// availability zone hand them on, so that the link of a small one suffices.
     void broadcastNews(wire::GatewayMessageT &message);
     /// Tells every live instance the own state now.
     void announce();
@@ -49,9 +51,12 @@
     void greet(const std::string &ip, bool wantsInstances);
     void tellInstances(const std::string &ip);
     void forwardNewInstances();
-    void sendToOwnZone(const wire::GatewayMessageT &message);
+    /// Sends a message to the first instances of an availability zone, which hand it on.
+    void sendToZone(const std::string &availabilityZone, wire::GatewayMessageT &message);
+    void handOn(const wire::GatewayMessageT &message);
+    [[nodiscard]] std::set<std::string> otherZones() const;
     void sendZoneReports();
-    void handleZoneReport(wire::GatewayMessageT &message);
+    void handleZoneReport(const wire::ZoneReportT &report);
     void askForInstances(TimePoint now, bool knowsAny);
     void tick();
     [[nodiscard]] wire::GatewayMessageT ownState(bool isFull) const;
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -1,6 +1,7 @@
 #include "tablekeeper.h"
 
 #include <algorithm>
+#include <zlib.h>
 
 // What instances tell each other about their tables; reading the store is in tablekeeper.cpp.
 namespace apricotrock::gateway {
@@ -9,8 +10,13 @@
 
 using std::chrono::milliseconds;
 
-/// Bytes of updates that one datagram carries.
-constexpr std::size_t updateBytes = std::size_t(8) * 1024;
+/// Bytes of updates that one datagram carries, before compression to about a sixth.
+constexpr std::size_t updateBytes = std::size_t(16) * 1024;
+/// Largest size of unpacked updates; some 25,000 backend servers.
+constexpr std::size_t maxUnpackedBytes = std::size_t(8) * 1024 * 1024;
+/// News that are handed on may arrive later than a heartbeat that tells of them; some hops between
+/// small machines.
+constexpr Duration updatePatience = milliseconds(100);
 /// Instances of a zone that get a new configuration from another zone at once; the rest of the zone
 /// waits for them for the time below.
 constexpr std::size_t zoneFetchers = 2;
@@ -24,20 +30,50 @@
     return {text.begin(), text.end()};
 }
 
-std::unique_ptr<wire::ServerUpdateT> encodeRecord(const StoredRecord &record)
+wire::ServerUpdateT encodeRecord(const StoredRecord &record)
 {
-    auto update = std::make_unique<wire::ServerUpdateT>();
-    update->id = record.key;
-    update->offset = record.offset;
+    wire::ServerUpdateT update;
+    update.id = record.key;
+    update.offset = record.offset;
     if (record.value)
-        update->value = toBytes(*record.value);
+        update.value = toBytes(*record.value);
     return update;
 }
 
-std::vector<StoredRecord> decodeRecords(const wire::GatewayMessageT &message)
+/// Puts \a updates into \a message, compressed.
+void packUpdates(const std::vector<wire::ServerUpdateT> &updates, wire::GatewayMessageT &message)
+{
+    flatbuffers::FlatBufferBuilder builder(updateBytes);
+    wire::ServerUpdatesT table;
+    for (const wire::ServerUpdateT &each : updates)
+        table.updates.push_back(std::make_unique<wire::ServerUpdateT>(each));
+    builder.Finish(wire::ServerUpdates::Pack(builder, &table));
+    uLongf size = compressBound(builder.GetSize());
+    message.packed_updates.resize(size);
+    message.unpacked_bytes = builder.GetSize();
+    // Cannot fail: the target has the size that zlib asks for.
+    compress2(message.packed_updates.data(), &size, builder.GetBufferPointer(), builder.GetSize(),
+              Z_BEST_SPEED);
+    message.packed_updates.resize(size);
+}
+
+Result<std::vector<StoredRecord>> unpackUpdates(const wire::GatewayMessageT &message)
 {
     std::vector<StoredRecord> records;
-    for (const auto &each : message.updates) {
+    if (message.packed_updates.empty())
+        return records;
+    if (message.unpacked_bytes > maxUnpackedBytes)
+        return makeError("updates are larger than the tables can be");
+    std::vector<std::uint8_t> bytes(message.unpacked_bytes);
+    uLongf size = bytes.size();
+    const int result = uncompress(bytes.data(), &size, message.packed_updates.data(),
+                                  message.packed_updates.size());
+    flatbuffers::Verifier verifier(bytes.data(), size);
+    if (result != Z_OK || !verifier.VerifyBuffer<wire::ServerUpdates>())
+        return makeError("updates cannot be unpacked");
+    wire::ServerUpdatesT table;
+    flatbuffers::GetRoot<wire::ServerUpdates>(bytes.data())->UnPackTo(&table);
+    for (const auto &each : table.updates) {
         StoredRecord record{each->id, each->offset, std::nullopt};
         if (!each->value.empty())
             record.value = std::string(each->value.begin(), each->value.end());
@@ -59,11 +95,13 @@
         message.incarnation = m_context.membership.self().incarnation;
         message.updates_from = from;
         std::size_t bytes = 0;
+        std::vector<wire::ServerUpdateT> packed;
         while (next < updates.size() && (bytes == 0 || bytes < updateBytes)) {
             bytes += updates[next].value.value_or("").size() + updates[next].key.size();
-            message.updates.push_back(encodeRecord(updates[next]));
+            packed.push_back(encodeRecord(updates[next]));
             ++next;
         }
+        packUpdates(packed, message);
         // Each datagram covers the positions up to the first update of the next one.
         const std::uint64_t to = next < updates.size() ? updates[next].offset : end;
         const wire::TableState now = state();
@@ -78,9 +116,10 @@
 void TableKeeper::handleTables(const std::string &ip, const wire::GatewayMessageT &message)
 {
     const wire::TableState &tables = *message.tables;
-    if (!message.updates.empty())
-        applyServers(decodeRecords(message), message.updates_from, tables.server_position(), false,
-                     "peer");
+    if (const auto updates = unpackUpdates(message); !updates)
+        logUnreadable(ip, updates.error());
+    else if (!updates->empty())
+        applyServers(*updates, message.updates_from, tables.server_position(), false, "peer");
     if (tables.is_reader()) {
         const bool isBehind =
             !m_context.servers.hasSnapshot() || tables.last_change() > m_context.servers.position();
@@ -92,9 +131,7 @@
             if (milliseconds(tables.read_age_ms()) < serverWait)
                 m_context.servers.storeAnswered(Clock::now());
         } else if (m_context.servers.hasSnapshot()) {
-            // A datagram was lost; the store tells just what is missing.
-            if (Clock::now() >= m_nextRead)
-                readServers(Duration::zero());
+            planCatchUp(tables.last_change());
         } else {
             fetchTables(ip, true);
         }
@@ -105,6 +142,26 @@
         fetchConfiguration(ip, tables.configuration_version());
 }
 
+void TableKeeper::logUnreadable(const std::string &ip, const Error &error)
+{
+    m_context.log.write(EventLog::Level::Warning, "peer_tables_failed", [&](LogLine &line) {
+        line.text("peer", ip).text("reason", error.message);
+    });
+}
+
+void TableKeeper::planCatchUp(std::uint64_t position)
+{
+    if (m_isCatchUpPlanned)
+        return;
+    m_isCatchUpPlanned = true;
+    m_context.timers.callAfter(updatePatience, [this, position] {
+        m_isCatchUpPlanned = false;
+        // A datagram was lost; the store tells just what is missing.
+        if (m_context.servers.position() < position && Clock::now() >= m_nextRead)
+            readServers(Duration::zero());
+    });
+}
+
 void TableKeeper::fetchConfiguration(const std::string &ip, std::uint64_t version)
 {
     const fleet::Membership &membership = m_context.membership;
@@ -185,9 +242,11 @@
                 return;
             wire::GatewayMessageT message;
             wire::GetGatewayMessage(body.data())->UnPackTo(&message);
-            if (message.tables)
-                applyServers(decodeRecords(message), 0, message.tables->server_position(), true,
-                             "peer");
+            const auto updates = unpackUpdates(message);
+            if (!updates)
+                logUnreadable(ip, updates.error());
+            else if (message.tables)
+                applyServers(*updates, 0, message.tables->server_position(), true, "peer");
         });
 }
 
@@ -204,10 +263,12 @@
     }
     wire::GatewayMessageT message;
     message.tables = std::make_unique<wire::TableState>(state());
+    std::vector<wire::ServerUpdateT> updates;
     for (const auto &[id, record] : m_records) {
         if (record.value)
-            message.updates.push_back(encodeRecord(record));
+            updates.push_back(encodeRecord(record));
     }
+    packUpdates(updates, message);
     flatbuffers::FlatBufferBuilder builder(4096);
     builder.Finish(wire::GatewayMessage::Pack(builder, &message), wire::GatewayMessageIdentifier());
     connection->respond(
--- a/packages/gateway/src/tablekeeper.h
+++ b/packages/gateway/src/tablekeeper.h
@@ -51,6 +51,10 @@
     void applyConfigurationRecords(const std::vector<StoredRecord> &records);
     /// Tells the others what changed between two positions.
     void broadcastUpdates(std::vector<StoredRecord> updates, std::uint64_t from, std::uint64_t end);
+    /// Tells of tables of a peer that could not be used; the store is the other source.
+    void logUnreadable(const std::string &ip, const Error &error);
+    /// Reads from the store what a change up to \a position needs, unless it arrives meanwhile.
+    void planCatchUp(std::uint64_t position);
     void fetchConfiguration(const std::string &ip, std::uint64_t version);
     /// True if this instance gets news for its availability zone.
     [[nodiscard]] bool isZoneFetcher() const;
@@ -90,6 +94,7 @@
     bool m_hasInstances = false;
     bool m_isFetching = false;
     bool m_isFetchPlanned = false;
+    bool m_isCatchUpPlanned = false;
     bool m_wasFailing = false;
     bool m_toldReading = false;
 };
--- a/packages/wire/include/apricotrock/gateway_generated.h
+++ b/packages/wire/include/apricotrock/gateway_generated.h
@@ -44,6 +44,10 @@
 struct ServerUpdateBuilder;
 struct ServerUpdateT;
 
+struct ServerUpdates;
+struct ServerUpdatesBuilder;
+struct ServerUpdatesT;
+
 struct GatewayMessage;
 struct GatewayMessageBuilder;
 struct GatewayMessageT;
@@ -716,7 +720,6 @@
   typedef ZoneReport TableType;
   std::string availability_zone{};
   std::vector<std::unique_ptr<apricotrock::wire::InstanceReportT>> instances{};
-  bool is_relayed = false;
   ZoneReportT() = default;
   ZoneReportT(const ZoneReportT &o);
   ZoneReportT(ZoneReportT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -729,8 +732,7 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_AVAILABILITY_ZONE = 4,
-    VT_INSTANCES = 6,
-    VT_IS_RELAYED = 8
+    VT_INSTANCES = 6
   };
   const flatbuffers::String *availability_zone() const {
     return GetPointer<const flatbuffers::String *>(VT_AVAILABILITY_ZONE);
@@ -738,9 +740,6 @@
   const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::InstanceReport>> *instances() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::InstanceReport>> *>(VT_INSTANCES);
   }
-  bool is_relayed() const {
-    return GetField<uint8_t>(VT_IS_RELAYED, 0) != 0;
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_AVAILABILITY_ZONE) &&
@@ -748,7 +747,6 @@
            VerifyOffset(verifier, VT_INSTANCES) &&
            verifier.VerifyVector(instances()) &&
            verifier.VerifyVectorOfTables(instances()) &&
-           VerifyField<uint8_t>(verifier, VT_IS_RELAYED, 1) &&
            verifier.EndTable();
   }
   ZoneReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -766,9 +764,6 @@
   void add_instances(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::InstanceReport>>> instances) {
     fbb_.AddOffset(ZoneReport::VT_INSTANCES, instances);
   }
-  void add_is_relayed(bool is_relayed) {
-    fbb_.AddElement<uint8_t>(ZoneReport::VT_IS_RELAYED, static_cast<uint8_t>(is_relayed), 0);
-  }
   explicit ZoneReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -784,12 +779,10 @@
 inline flatbuffers::Offset<ZoneReport> CreateZoneReport(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> availability_zone = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::InstanceReport>>> instances = 0,
-    bool is_relayed = false) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::InstanceReport>>> instances = 0) {
   ZoneReportBuilder builder_(_fbb);
   builder_.add_instances(instances);
   builder_.add_availability_zone(availability_zone);
-  builder_.add_is_relayed(is_relayed);
   return builder_.Finish();
 }
 
@@ -801,15 +794,13 @@
 inline flatbuffers::Offset<ZoneReport> CreateZoneReportDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *availability_zone = nullptr,
-    const std::vector<flatbuffers::Offset<apricotrock::wire::InstanceReport>> *instances = nullptr,
-    bool is_relayed = false) {
+    const std::vector<flatbuffers::Offset<apricotrock::wire::InstanceReport>> *instances = nullptr) {
   auto availability_zone__ = availability_zone ? _fbb.CreateString(availability_zone) : 0;
   auto instances__ = instances ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::InstanceReport>>(*instances) : 0;
   return apricotrock::wire::CreateZoneReport(
       _fbb,
       availability_zone__,
-      instances__,
-      is_relayed);
+      instances__);
 }
 
 flatbuffers::Offset<ZoneReport> CreateZoneReport(flatbuffers::FlatBufferBuilder &_fbb, const ZoneReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -911,6 +902,79 @@
 
 flatbuffers::Offset<ServerUpdate> CreateServerUpdate(flatbuffers::FlatBufferBuilder &_fbb, const ServerUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ServerUpdatesT : public flatbuffers::NativeTable {
+  typedef ServerUpdates TableType;
+  std::vector<std::unique_ptr<apricotrock::wire::ServerUpdateT>> updates{};
+  ServerUpdatesT() = default;
+  ServerUpdatesT(const ServerUpdatesT &o);
+  ServerUpdatesT(ServerUpdatesT&&) FLATBUFFERS_NOEXCEPT = default;
+  ServerUpdatesT &operator=(ServerUpdatesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ServerUpdates FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServerUpdatesT NativeTableType;
+  typedef ServerUpdatesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPDATES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>> *updates() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>> *>(VT_UPDATES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_UPDATES) &&
+           verifier.VerifyVector(updates()) &&
+           verifier.VerifyVectorOfTables(updates()) &&
+           verifier.EndTable();
+  }
+  ServerUpdatesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ServerUpdatesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ServerUpdates> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerUpdatesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ServerUpdatesBuilder {
+  typedef ServerUpdates Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_updates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>>> updates) {
+    fbb_.AddOffset(ServerUpdates::VT_UPDATES, updates);
+  }
+  explicit ServerUpdatesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServerUpdates> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServerUpdates>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServerUpdates> CreateServerUpdates(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>>> updates = 0) {
+  ServerUpdatesBuilder builder_(_fbb);
+  builder_.add_updates(updates);
+  return builder_.Finish();
+}
+
+struct ServerUpdates::Traits {
+  using type = ServerUpdates;
+  static auto constexpr Create = CreateServerUpdates;
+};
+
+inline flatbuffers::Offset<ServerUpdates> CreateServerUpdatesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>> *updates = nullptr) {
+  auto updates__ = updates ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>>(*updates) : 0;
+  return apricotrock::wire::CreateServerUpdates(
+      _fbb,
+      updates__);
+}
+
+flatbuffers::Offset<ServerUpdates> CreateServerUpdates(flatbuffers::FlatBufferBuilder &_fbb, const ServerUpdatesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct GatewayMessageT : public flatbuffers::NativeTable {
   typedef GatewayMessage TableType;
   std::unique_ptr<apricotrock::wire::SelfReportT> self{};
@@ -921,9 +985,10 @@
   std::vector<apricotrock::wire::SlotEnd> ends{};
   std::vector<std::unique_ptr<apricotrock::wire::InstanceAddressT>> instances{};
   std::unique_ptr<apricotrock::wire::ZoneReportT> zone_report{};
-  std::vector<std::unique_ptr<apricotrock::wire::ServerUpdateT>> updates{};
+  std::vector<uint8_t> packed_updates{};
+  uint32_t unpacked_bytes = 0;
   uint64_t updates_from = 0;
-  bool for_zone = false;
+  uint8_t relay = 0;
   GatewayMessageT() = default;
   GatewayMessageT(const GatewayMessageT &o);
   GatewayMessageT(GatewayMessageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -943,9 +1008,10 @@
     VT_ENDS = 14,
     VT_INSTANCES = 16,
     VT_ZONE_REPORT = 18,
-    VT_UPDATES = 20,
-    VT_UPDATES_FROM = 22,
-    VT_FOR_ZONE = 24
+    VT_PACKED_UPDATES = 20,
+    VT_UNPACKED_BYTES = 22,
+    VT_UPDATES_FROM = 24,
+    VT_RELAY = 26
   };
   const apricotrock::wire::SelfReport *self() const {
     return GetPointer<const apricotrock::wire::SelfReport *>(VT_SELF);
@@ -971,14 +1037,17 @@
   const apricotrock::wire::ZoneReport *zone_report() const {
     return GetPointer<const apricotrock::wire::ZoneReport *>(VT_ZONE_REPORT);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>> *updates() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>> *>(VT_UPDATES);
+  const flatbuffers::Vector<uint8_t> *packed_updates() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED_UPDATES);
+  }
+  uint32_t unpacked_bytes() const {
+    return GetField<uint32_t>(VT_UNPACKED_BYTES, 0);
   }
   uint64_t updates_from() const {
     return GetField<uint64_t>(VT_UPDATES_FROM, 0);
   }
-  bool for_zone() const {
-    return GetField<uint8_t>(VT_FOR_ZONE, 0) != 0;
+  uint8_t relay() const {
+    return GetField<uint8_t>(VT_RELAY, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -997,11 +1066,11 @@
            verifier.VerifyVectorOfTables(instances()) &&
            VerifyOffset(verifier, VT_ZONE_REPORT) &&
            verifier.VerifyTable(zone_report()) &&
-           VerifyOffset(verifier, VT_UPDATES) &&
-           verifier.VerifyVector(updates()) &&
-           verifier.VerifyVectorOfTables(updates()) &&
+           VerifyOffset(verifier, VT_PACKED_UPDATES) &&
+           verifier.VerifyVector(packed_updates()) &&
+           VerifyField<uint32_t>(verifier, VT_UNPACKED_BYTES, 4) &&
            VerifyField<uint64_t>(verifier, VT_UPDATES_FROM, 8) &&
-           VerifyField<uint8_t>(verifier, VT_FOR_ZONE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RELAY, 1) &&
            verifier.EndTable();
   }
   GatewayMessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1037,14 +1106,17 @@
   void add_zone_report(flatbuffers::Offset<apricotrock::wire::ZoneReport> zone_report) {
     fbb_.AddOffset(GatewayMessage::VT_ZONE_REPORT, zone_report);
   }
-  void add_updates(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>>> updates) {
-    fbb_.AddOffset(GatewayMessage::VT_UPDATES, updates);
+  void add_packed_updates(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_updates) {
+    fbb_.AddOffset(GatewayMessage::VT_PACKED_UPDATES, packed_updates);
+  }
+  void add_unpacked_bytes(uint32_t unpacked_bytes) {
+    fbb_.AddElement<uint32_t>(GatewayMessage::VT_UNPACKED_BYTES, unpacked_bytes, 0);
   }
   void add_updates_from(uint64_t updates_from) {
     fbb_.AddElement<uint64_t>(GatewayMessage::VT_UPDATES_FROM, updates_from, 0);
   }
-  void add_for_zone(bool for_zone) {
-    fbb_.AddElement<uint8_t>(GatewayMessage::VT_FOR_ZONE, static_cast<uint8_t>(for_zone), 0);
+  void add_relay(uint8_t relay) {
+    fbb_.AddElement<uint8_t>(GatewayMessage::VT_RELAY, relay, 0);
   }
   explicit GatewayMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1067,13 +1139,15 @@
     flatbuffers::Offset<flatbuffers::Vector<const apricotrock::wire::SlotEnd *>> ends = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::InstanceAddress>>> instances = 0,
     flatbuffers::Offset<apricotrock::wire::ZoneReport> zone_report = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>>> updates = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_updates = 0,
+    uint32_t unpacked_bytes = 0,
     uint64_t updates_from = 0,
-    bool for_zone = false) {
+    uint8_t relay = 0) {
   GatewayMessageBuilder builder_(_fbb);
   builder_.add_updates_from(updates_from);
   builder_.add_incarnation(incarnation);
-  builder_.add_updates(updates);
+  builder_.add_unpacked_bytes(unpacked_bytes);
+  builder_.add_packed_updates(packed_updates);
   builder_.add_zone_report(zone_report);
   builder_.add_instances(instances);
   builder_.add_ends(ends);
@@ -1081,7 +1155,7 @@
   builder_.add_asks(asks);
   builder_.add_tables(tables);
   builder_.add_self(self);
-  builder_.add_for_zone(for_zone);
+  builder_.add_relay(relay);
   return builder_.Finish();
 }
 
@@ -1100,14 +1174,15 @@
     const std::vector<apricotrock::wire::SlotEnd> *ends = nullptr,
     const std::vector<flatbuffers::Offset<apricotrock::wire::InstanceAddress>> *instances = nullptr,
     flatbuffers::Offset<apricotrock::wire::ZoneReport> zone_report = 0,
-    const std::vector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>> *updates = nullptr,
+    const std::vector<uint8_t> *packed_updates = nullptr,
+    uint32_t unpacked_bytes = 0,
     uint64_t updates_from = 0,
-    bool for_zone = false) {
+    uint8_t relay = 0) {
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotAsk>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotAnswer>(*answers) : 0;
   auto ends__ = ends ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotEnd>(*ends) : 0;
   auto instances__ = instances ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::InstanceAddress>>(*instances) : 0;
-  auto updates__ = updates ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>>(*updates) : 0;
+  auto packed_updates__ = packed_updates ? _fbb.CreateVector<uint8_t>(*packed_updates) : 0;
   return apricotrock::wire::CreateGatewayMessage(
       _fbb,
       self,
@@ -1118,9 +1193,10 @@
       ends__,
       instances__,
       zone_report,
-      updates__,
+      packed_updates__,
+      unpacked_bytes,
       updates_from,
-      for_zone);
+      relay);
 }
 
 flatbuffers::Offset<GatewayMessage> CreateGatewayMessage(flatbuffers::FlatBufferBuilder &_fbb, const GatewayMessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1234,8 +1310,7 @@
 }
 
 inline ZoneReportT::ZoneReportT(const ZoneReportT &o)
-      : availability_zone(o.availability_zone),
-        is_relayed(o.is_relayed) {
+      : availability_zone(o.availability_zone) {
   instances.reserve(o.instances.size());
   for (const auto &instances_ : o.instances) { instances.emplace_back((instances_) ? new apricotrock::wire::InstanceReportT(*instances_) : nullptr); }
 }
@@ -1243,7 +1318,6 @@
 inline ZoneReportT &ZoneReportT::operator=(ZoneReportT o) FLATBUFFERS_NOEXCEPT {
   std::swap(availability_zone, o.availability_zone);
   std::swap(instances, o.instances);
-  std::swap(is_relayed, o.is_relayed);
   return *this;
 }
 
@@ -1258,7 +1332,6 @@
   (void)_resolver;
   { auto _e = availability_zone(); if (_e) _o->availability_zone = _e->str(); }
   { auto _e = instances(); if (_e) { _o->instances.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->instances[_i] = std::unique_ptr<apricotrock::wire::InstanceReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = is_relayed(); _o->is_relayed = _e; }
 }
 
 inline flatbuffers::Offset<ZoneReport> ZoneReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1271,12 +1344,10 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ZoneReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _availability_zone = _fbb.CreateString(_o->availability_zone);
   auto _instances = _o->instances.size() ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::InstanceReport>> (_o->instances.size(), [](size_t i, _VectorArgs *__va) { return CreateInstanceReport(*__va->__fbb, __va->__o->instances[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _is_relayed = _o->is_relayed;
   return apricotrock::wire::CreateZoneReport(
       _fbb,
       _availability_zone,
-      _instances,
-      _is_relayed);
+      _instances);
 }
 
 inline ServerUpdateT *ServerUpdate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1311,6 +1382,42 @@
       _value);
 }
 
+inline ServerUpdatesT::ServerUpdatesT(const ServerUpdatesT &o) {
+  updates.reserve(o.updates.size());
+  for (const auto &updates_ : o.updates) { updates.emplace_back((updates_) ? new apricotrock::wire::ServerUpdateT(*updates_) : nullptr); }
+}
+
+inline ServerUpdatesT &ServerUpdatesT::operator=(ServerUpdatesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(updates, o.updates);
+  return *this;
+}
+
+inline ServerUpdatesT *ServerUpdates::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ServerUpdatesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ServerUpdates::UnPackTo(ServerUpdatesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = updates(); if (_e) { _o->updates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->updates[_i] = std::unique_ptr<apricotrock::wire::ServerUpdateT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ServerUpdates> ServerUpdates::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerUpdatesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServerUpdates(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ServerUpdates> CreateServerUpdates(flatbuffers::FlatBufferBuilder &_fbb, const ServerUpdatesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServerUpdatesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _updates = _o->updates.size() ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>> (_o->updates.size(), [](size_t i, _VectorArgs *__va) { return CreateServerUpdate(*__va->__fbb, __va->__o->updates[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return apricotrock::wire::CreateServerUpdates(
+      _fbb,
+      _updates);
+}
+
 inline GatewayMessageT::GatewayMessageT(const GatewayMessageT &o)
       : self((o.self) ? new apricotrock::wire::SelfReportT(*o.self) : nullptr),
         incarnation(o.incarnation),
@@ -1319,12 +1426,12 @@
         answers(o.answers),
         ends(o.ends),
         zone_report((o.zone_report) ? new apricotrock::wire::ZoneReportT(*o.zone_report) : nullptr),
+        packed_updates(o.packed_updates),
+        unpacked_bytes(o.unpacked_bytes),
         updates_from(o.updates_from),
-        for_zone(o.for_zone) {
+        relay(o.relay) {
   instances.reserve(o.instances.size());
   for (const auto &instances_ : o.instances) { instances.emplace_back((instances_) ? new apricotrock::wire::InstanceAddressT(*instances_) : nullptr); }
-  updates.reserve(o.updates.size());
-  for (const auto &updates_ : o.updates) { updates.emplace_back((updates_) ? new apricotrock::wire::ServerUpdateT(*updates_) : nullptr); }
 }
 
 inline GatewayMessageT &GatewayMessageT::operator=(GatewayMessageT o) FLATBUFFERS_NOEXCEPT {
@@ -1336,9 +1443,10 @@
   std::swap(ends, o.ends);
   std::swap(instances, o.instances);
   std::swap(zone_report, o.zone_report);
-  std::swap(updates, o.updates);
+  std::swap(packed_updates, o.packed_updates);
+  std::swap(unpacked_bytes, o.unpacked_bytes);
   std::swap(updates_from, o.updates_from);
-  std::swap(for_zone, o.for_zone);
+  std::swap(relay, o.relay);
   return *this;
 }
 
@@ -1359,9 +1467,10 @@
   { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = *_e->Get(_i); } } }
   { auto _e = instances(); if (_e) { _o->instances.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->instances[_i] = std::unique_ptr<apricotrock::wire::InstanceAddressT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = zone_report(); if (_e) _o->zone_report = std::unique_ptr<apricotrock::wire::ZoneReportT>(_e->UnPack(_resolver)); }
-  { auto _e = updates(); if (_e) { _o->updates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->updates[_i] = std::unique_ptr<apricotrock::wire::ServerUpdateT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = packed_updates(); if (_e) { _o->packed_updates.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->packed_updates.begin()); } }
+  { auto _e = unpacked_bytes(); _o->unpacked_bytes = _e; }
   { auto _e = updates_from(); _o->updates_from = _e; }
-  { auto _e = for_zone(); _o->for_zone = _e; }
+  { auto _e = relay(); _o->relay = _e; }
 }
 
 inline flatbuffers::Offset<GatewayMessage> GatewayMessage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayMessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1380,9 +1489,10 @@
   auto _ends = _o->ends.size() ? _fbb.CreateVectorOfStructs(_o->ends) : 0;
   auto _instances = _o->instances.size() ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::InstanceAddress>> (_o->instances.size(), [](size_t i, _VectorArgs *__va) { return CreateInstanceAddress(*__va->__fbb, __va->__o->instances[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _zone_report = _o->zone_report ? CreateZoneReport(_fbb, _o->zone_report.get(), _rehasher) : 0;
-  auto _updates = _o->updates.size() ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::ServerUpdate>> (_o->updates.size(), [](size_t i, _VectorArgs *__va) { return CreateServerUpdate(*__va->__fbb, __va->__o->updates[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _packed_updates = _o->packed_updates.size() ? _fbb.CreateVector(_o->packed_updates) : 0;
+  auto _unpacked_bytes = _o->unpacked_bytes;
   auto _updates_from = _o->updates_from;
-  auto _for_zone = _o->for_zone;
+  auto _relay = _o->relay;
   return apricotrock::wire::CreateGatewayMessage(
       _fbb,
       _self,
@@ -1393,9 +1503,10 @@
       _ends,
       _instances,
       _zone_report,
-      _updates,
+      _packed_updates,
+      _unpacked_bytes,
       _updates_from,
-      _for_zone);
+      _relay);
 }
 
 inline const apricotrock::wire::GatewayMessage *GetGatewayMessage(const void *buf) {
