Gateway: Wait for the first configuration at the store

Cause: every instance asked for the configuration each 300 ms until the first version was published, and each of them took the duty to read the store as soon as it knew no other ready instance, 600 ms after its start.

Now an instance without a configuration waits at the store for it, and the duty begins 600 ms after the tables are known, when the others have been heard.

--- a/packages/gateway/src/tablekeeper.cpp
+++ b/packages/gateway/src/tablekeeper.cpp
@@ -23,10 +23,10 @@
 /// Interval of reads of the configuration by an instance without a reader.
 constexpr Duration configurationInterval = milliseconds(800);
 constexpr Duration retryInterval = milliseconds(300);
-/// An instance that has just read everything takes the duty to read after this, when it knows most
+/// An instance that has just got its tables takes the duty to read after this, when it knows most
 /// of the others.
 constexpr Duration settleTime = milliseconds(600);
-/// The silence of the reader counts from this long after the start.
+/// The silence of the reader counts from this long after the instance got its tables.
 constexpr Duration readerStartTime = milliseconds(800);
 /// Shortest interval of reads, so that many servers that register together are read at once.
 constexpr Duration minReadInterval = milliseconds(100);
@@ -58,7 +58,6 @@
 Result<void> TableKeeper::start()
 {
     m_started = Clock::now();
-    m_heardReader = m_started + readerStartTime;
     auto listening = m_listener.listen({m_context.settings.ip, m_context.settings.tablePort});
     if (!listening)
         return listening;
@@ -118,8 +117,12 @@
         else
             readInstances();
     }
-    const bool reads =
-        now - m_started > settleTime && (isReader() || now - m_heardReader > readerSilence);
+    if (m_complete == TimePoint() && isComplete()) {
+        m_complete = now;
+        m_heardReader = std::max(m_heardReader, now + readerStartTime);
+    }
+    const bool isSettled = m_complete != TimePoint() && now - m_complete > settleTime;
+    const bool reads = isSettled && (isReader() || now - m_heardReader > readerSilence);
     if (reads != m_toldReading) {
         m_toldReading = reads;
         m_context.log.write(EventLog::Level::Info,
@@ -135,12 +138,11 @@
     } else if (reads && now >= m_nextRead) {
         readServers();
     }
-    if (!m_context.routes.configuration() || (reads && !isReader())) {
-        const Duration interval =
-            m_context.routes.configuration() ? configurationInterval : retryInterval;
-        if (now - m_configurationRead > interval)
+    if (reads && !isReader()) {
+        if (now - m_configurationRead > configurationInterval)
             readConfiguration();
-    } else if (reads && isReader()) {
+    } else if (reads || !m_context.routes.configuration()) {
+        // Before the first version is published, every instance waits for it.
         watchConfiguration();
     }
     if (!isComplete() && now - m_tablesFetched > fetchInterval && now - m_started > storePatience) {
@@ -301,7 +303,8 @@
     if (m_isWatching)
         return;
     if (!m_hasConfigurationPosition) {
-        readConfiguration();
+        if (Clock::now() - m_configurationRead > retryInterval)
+            readConfiguration();
         return;
     }
     m_isWatching = true;
--- a/packages/gateway/src/tablekeeper.h
+++ b/packages/gateway/src/tablekeeper.h
@@ -75,6 +75,8 @@
     std::uint64_t m_configurationPosition = 0;
     bool m_hasConfigurationPosition = false;
     TimePoint m_started;
+    /// When the tables were known for the first time.
+    TimePoint m_complete;
     TimePoint m_heardReader;
     /// Start of the last read, and answer of the last one that succeeded.
     TimePoint m_serversRead;
