--- a/packages/backend/src/sender.cpp
+++ b/packages/backend/src/sender.cpp
@@ -278,8 +278,8 @@
 
 std::unique_ptr<Transfer> Sender::Private::abandon(CURL *easy)
 {
-    // libcurl closes a socket that is still connecting without a callback, and reports that it is no
-    // longer watched after that, when its number may belong to another thread.
+    // libcurl closes a socket that is still connecting without a callback, and reports that it is
+    // no longer watched after that, when its number may belong to another thread.
     loop.forget(transfers.at(easy)->connectingSocket());
     return release(easy);
 }
--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -100,8 +100,8 @@
     Duration retryAfter{};
     /// Age of the load report that the choice used; negative if there was none.
     Duration reportAge{};
-    /// Slots of the server that was chosen and how many of them are taken now; of all servers of the
-    /// service if the ask was refused.
+    /// Slots of the server that was chosen and how many of them are taken now; of all servers of
+    /// the service if the ask was refused.
     unsigned slots = 0;
     unsigned taken = 0;
     /// Asks that waited when the ask was refused.
--- a/tests/testmain.cpp
+++ b/tests/testmain.cpp
@@ -4,7 +4,8 @@
 
 #include <iostream>
 
-/// Runs all tests, or those of the path that is given, such as `GatewayTest::drainIsKnownEverywhere`.
+/// Runs all tests, or those of the path that is given, such as
+/// `GatewayTest::drainIsKnownEverywhere`.
 int main(int argc, char **argv)
 {
     CppUnit::TextUi::TestRunner runner;
