Fleet: Give duties to the larger instances; cut the cost of a decision

Ruled out: lost datagrams (few failed sends, answers came late) and the link.

Duties now go to instances with at least half of the largest capacity that is alive. The limit of attempts is computed once for each pass, and decays of values that are neutral are skipped.

A request that ends while it runs at a server is logged as one that may have run, and the end of its attempt has a line.

--- a/packages/broker/src/dispatch.cpp
+++ b/packages/broker/src/dispatch.cpp
@@ -52,6 +52,27 @@
     double cost = std::numeric_limits<double>::max();
 };
 
+/// attemptLimit() for the servers of a service, most of which have the same number of slots.
+class AttemptLimits
+{
+public:
+    explicit AttemptLimits(const ServiceState &state) : m_state(state) { }
+
+    unsigned operator()(const ServerState &server)
+    {
+        if (server.info.slots != m_slots) {
+            m_slots = server.info.slots;
+            m_limit = attemptLimit(m_state, m_slots);
+        }
+        return m_limit;
+    }
+
+private:
+    const ServiceState &m_state;
+    unsigned m_slots = 0;
+    unsigned m_limit = 1;
+};
+
 bool isExcluded(const Ask &request, ServerKey key)
 {
     return std::find(request.excluded.begin(), request.excluded.end(), key)
@@ -66,8 +87,9 @@
 /// Cost of an attempt on \a server that starts with \a taken slots in use.
 double costOf(const ServerState &server, double seconds, unsigned taken, TimePoint now)
 {
-    double cost = seconds * (1 + failureCost * failureShare(server, now));
-    if (failureShare(server, now) > grayFailureShare)
+    const double failures = failureShare(server, now);
+    double cost = seconds * (1 + failureCost * failures);
+    if (failures > grayFailureShare)
         cost *= failureCost;
     cost += neighbourCost * seconds * taken / std::max(1U, server.info.slots);
     return cost;
@@ -76,12 +98,13 @@
 Choice chooseFree(ServiceState &state, const Ask &request, TimePoint now)
 {
     Choice best;
+    AttemptLimits limits(state);
     const double work = workSeconds(state, request.route, request.objective);
     for (auto &[key, server] : state.servers) {
         if (!isAvailable(server, now) || isExcluded(request, key))
             continue;
         const unsigned taken = takenSlots(state, server, now);
-        if (taken >= attemptLimit(state, server.info.slots))
+        if (taken >= limits(server))
             continue;
         const double seconds = work * durationFactor(state, server, taken, now);
         double cost = costOf(server, seconds, taken, now);
@@ -97,11 +120,12 @@
 double bestAfterWait(ServiceState &state, const Ask &request, TimePoint now)
 {
     double best = std::numeric_limits<double>::max();
+    AttemptLimits limits(state);
     const double work = workSeconds(state, request.route, request.objective);
     for (auto &[key, server] : state.servers) {
         if (!isAvailable(server, now) || isExcluded(request, key) || server.occupants.empty())
             continue;
-        const unsigned limit = attemptLimit(state, server.info.slots);
+        const unsigned limit = limits(server);
         if (takenSlots(state, server, now) < limit)
             continue;
         TimePoint firstEnd = TimePoint::max();
@@ -140,9 +164,10 @@
 unsigned usableSlots(const ServiceState &state)
 {
     unsigned slots = 0;
+    AttemptLimits limits(state);
     for (const auto &[key, server] : state.servers) {
         if (server.info.isUsable)
-            slots += attemptLimit(state, server.info.slots);
+            slots += limits(server);
     }
     return slots;
 }
@@ -150,9 +175,10 @@
 unsigned freeSlots(const ServiceState &state, TimePoint now)
 {
     unsigned slots = 0;
+    AttemptLimits limits(state);
     for (const auto &[key, server] : state.servers) {
+        const unsigned limit = limits(server);
         const unsigned taken = takenSlots(state, server, now);
-        const unsigned limit = attemptLimit(state, server.info.slots);
         if (isAvailable(server, now) && taken < limit)
             slots += limit - taken;
     }
--- a/packages/broker/src/estimate.cpp
+++ b/packages/broker/src/estimate.cpp
@@ -49,6 +49,8 @@
 
 double currentBias(const ServerState &server, TimePoint now)
 {
+    if (server.bias == 1.0)
+        return 1.0;
     return 1.0 + (server.bias - 1.0) * decay(now - server.biasChanged, biasHalfLife);
 }
 
@@ -95,8 +97,9 @@
 
 unsigned takenSlots(const ServiceState &state, const ServerState &server, TimePoint now)
 {
-    const double foreign =
-        server.foreignLoad * decay(now - server.foreignLoadRead, foreignLoadHalfLife);
+    const double foreign = server.foreignLoad == 0
+        ? 0
+        : server.foreignLoad * decay(now - server.foreignLoadRead, foreignLoadHalfLife);
     const auto known = static_cast<unsigned>(server.occupants.size())
         + static_cast<unsigned>(std::lround(foreign));
     const bool isNew = !state.isLeading || now - state.leadingSince < takeOverPeriod;
@@ -143,6 +146,8 @@
 
 double failureShare(const ServerState &server, TimePoint now)
 {
+    if (server.failureShare == 0)
+        return 0;
     return server.failureShare * decay(now - server.failureChanged, failureHalfLife);
 }
 
--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -240,7 +240,7 @@
     std::map<std::string, Peer> &peers() { return m_peers; }
 
     /// Returns the IP number of the instance that holds the duty \a key, by weighted rendezvous
-    /// hashing over the live ones; the instance itself is a candidate as well.
+    /// hashing over the larger ones of those that live; the instance itself is a candidate as well.
     [[nodiscard]] std::string holderOf(std::string_view key, bool mustReadStore,
                                        TimePoint now) const;
     /// Returns the live instances that accept callers.
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -19,6 +19,9 @@
 /// Instances to which one instance hands a message on. A few, so that a burst of large messages
 /// fits the queue of a small link.
 constexpr std::size_t relayFanOut = 4;
+/// Duties go to instances with at least this part of the largest capacity: in a fleet of few large
+/// and many small ones, most keys would fall to a small one that cannot carry them.
+constexpr double dutyCapacityShare = 0.5;
 /// A dead instance is forgotten after this; it announces itself if it comes back.
 constexpr Duration forgetAfter = seconds(60);
 
@@ -152,12 +155,22 @@
 
 std::string Membership::holderOf(std::string_view key, bool mustReadStore, TimePoint now) const
 {
+    const auto isCandidate = [&](const Peer &peer) {
+        return peer.isAlive && now >= peer.suspectUntil && canHoldDuty(peer.info, mustReadStore);
+    };
+    const bool isSelfCandidate = canHoldDuty(m_self, mustReadStore);
+    double largest = isSelfCandidate ? m_self.weight : 0;
+    for (const auto &[ip, peer] : m_peers) {
+        if (isCandidate(peer))
+            largest = std::max(largest, peer.info.weight);
+    }
+    const double smallest = largest * dutyCapacityShare;
     std::string holder = m_self.ip;
     double best = -1;
-    if (canHoldDuty(m_self, mustReadStore))
+    if (isSelfCandidate && m_self.weight >= smallest)
         best = weightedScore(key, m_self.ip, m_self.weight);
     for (const auto &[ip, peer] : m_peers) {
-        if (!peer.isAlive || now < peer.suspectUntil || !canHoldDuty(peer.info, mustReadStore))
+        if (!isCandidate(peer) || peer.info.weight < smallest)
             continue;
         const double score = weightedScore(key, ip, peer.info.weight);
         if (score > best) {
--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -470,7 +470,7 @@
         line.number("status", status)
             .text("reason", reason)
             .number("attempts", m_sent)
-            .flag("may_have_run", m_mayHaveRun)
+            .flag("may_have_run", m_mayHaveRun || hasRunningAttempt())
             .milliseconds("retry_after", retryAfter)
             .milliseconds("took", latency);
     });
@@ -494,6 +494,11 @@
             continue;
         if (attempt.connection)
             attempt.connection->close();
+        note(EventLog::Level::Info, "attempt_ended", [&](LogLine &line) {
+            line.text("server", attempt.server.id)
+                .text("outcome", broker::outcomeName(outcome))
+                .milliseconds("took", Clock::now() - attempt.started);
+        });
         endAttempt(index, outcome, std::nullopt);
     }
 }
