Broker: Look through a long queue at intervals

Every ask and every end sorted the whole queue, some thousand asks in a burst, and each refusal went through it once more.

A queue of more than 32 asks is now looked through every 4 ms, the time until it is empty is computed once for each pass, and the loaded work once for each pass in place of once for each ask.

--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -220,6 +220,8 @@
     std::vector<double> occupancyFactors;
     std::unordered_map<std::uint64_t, CrashSuspect> crashSuspects;
     std::vector<Ask> queue;
+    /// When the queue was looked through last.
+    TimePoint advanced;
     RetryBudget budget;
     /// Since when this state has seen the asks of the whole fleet.
     TimePoint leadingSince;
@@ -248,6 +250,10 @@
 /// Takes the result of a probe that got no usable answer.
 void learnProbeFailure(ServiceState &state, ServerKey server, TimePoint now);
 
+/// Returns true if advance() is worth its cost now. A long queue is looked through once for each
+/// few milliseconds and not for each event, because both grow with the load.
+bool isAdvanceDue(const ServiceState &state, TimePoint now);
+
 /// Hands free slots to waiting asks and refuses those that can't be served any more.
 std::vector<Decision> advance(ServiceState &state, TimePoint now);
 
--- a/packages/broker/src/dispatch.cpp
+++ b/packages/broker/src/dispatch.cpp
@@ -37,6 +37,10 @@
 /// Largest number of waiting asks for each slot that can't be in time any more. They are served
 /// when nothing else waits; more of them would only wait in vain.
 constexpr double latePerSlot = 0.5;
+/// Waiting asks that are looked through at every event.
+constexpr std::size_t shortQueue = 32;
+/// Interval in which a longer queue is looked through; little beside the time that a request takes.
+constexpr Duration longQueueInterval = milliseconds(4);
 /// Limits of Retry-After: shorter ones repeat the same overload, longer ones pass most deadlines.
 constexpr Duration minRetryAfter = milliseconds(50);
 constexpr Duration maxRetryAfter = milliseconds(1500);
@@ -199,21 +203,38 @@
     return decision;
 }
 
+/// Expected work of asks on servers that run as many attempts as they get. Made once for each pass
+/// over the queue.
+class LoadedWork
+{
+public:
+    explicit LoadedWork(const ServiceState &state) : m_state(state), m_factor(loadedFactor(state))
+    { }
+
+    double seconds(const Ask &request) const
+    {
+        return workSeconds(m_state, request.route, request.objective) * m_factor;
+    }
+    bool isInTime(const Ask &request, TimePoint now) const
+    {
+        return now + toDuration(seconds(request) * inTimeMargin) < request.target;
+    }
+
+private:
+    const ServiceState &m_state;
+    double m_factor;
+};
+
 /// Time until the waiting asks have been started, if no further ones come.
 Duration drainTime(const ServiceState &state)
 {
+    const LoadedWork loaded(state);
     double work = 0;
     for (const Ask &each : state.queue)
-        work += loadedSeconds(state, each.route, each.objective);
+        work += loaded.seconds(each);
     return toDuration(work / std::max(1U, usableSlots(state)));
 }
 
-bool isInTime(const ServiceState &state, const Ask &request, TimePoint now)
-{
-    const double seconds = loadedSeconds(state, request.route, request.objective);
-    return now + toDuration(seconds * inTimeMargin) < request.target;
-}
-
 std::size_t lateLimit(const ServiceState &state)
 {
     return static_cast<std::size_t>(std::ceil(latePerSlot * usableSlots(state)));
@@ -231,11 +252,12 @@
         TimePoint::rep order;
         std::size_t index;
     };
+    const LoadedWork loaded(state);
     std::vector<Rank> ranks;
     ranks.reserve(state.queue.size());
     for (std::size_t i = 0; i < state.queue.size(); ++i) {
         const Ask &each = state.queue[i];
-        const bool isLate = !isInTime(state, each, now);
+        const bool isLate = !loaded.isInTime(each, now);
         const auto order = isLate ? -each.deadline.time_since_epoch().count()
                                   : each.target.time_since_epoch().count();
         ranks.push_back({isLate, each.priority, order, i});
@@ -355,8 +377,14 @@
     return decision;
 }
 
+bool isAdvanceDue(const ServiceState &state, TimePoint now)
+{
+    return state.queue.size() <= shortQueue || now - state.advanced >= longQueueInterval;
+}
+
 std::vector<Decision> advance(ServiceState &state, TimePoint now)
 {
+    state.advanced = now;
     std::vector<Decision> decisions;
     expireOccupants(state, now);
     if (state.queue.empty())
@@ -367,10 +395,12 @@
     std::size_t late = 0;
     const std::size_t free = freeSlots(state, now);
     const std::size_t maxLate = lateLimit(state);
+    const LoadedWork loaded(state);
+    const Duration untilEmpty = drainTime(state);
     for (const Ask &each : state.queue) {
         if (!fitsDeadline(state, each, now)) {
             decisions.push_back(
-                refuse(state, each, RefusalReason::DeadlineUnmeetable, drainTime(state) / 2, now));
+                refuse(state, each, RefusalReason::DeadlineUnmeetable, untilEmpty / 2, now));
             continue;
         }
         std::optional<Decision> decision;
@@ -379,9 +409,8 @@
         if (decision) {
             ++slots;
             decisions.push_back(*decision);
-        } else if (!isInTime(state, each, now) && ++late > maxLate) {
-            decisions.push_back(
-                refuse(state, each, RefusalReason::QueueFull, drainTime(state), now));
+        } else if (!loaded.isInTime(each, now) && ++late > maxLate) {
+            decisions.push_back(refuse(state, each, RefusalReason::QueueFull, untilEmpty, now));
         } else {
             waiting.push_back(each);
         }
--- a/packages/broker/src/estimate.cpp
+++ b/packages/broker/src/estimate.cpp
@@ -129,11 +129,10 @@
     return factor;
 }
 
-double loadedSeconds(const ServiceState &state, RouteKey route, Duration objective)
+double loadedFactor(const ServiceState &state)
 {
     const unsigned slots = state.servers.empty() ? 1 : state.servers.begin()->second.info.slots;
-    const double factor = occupancyFactor(state, attemptLimit(state, slots), slots);
-    return workSeconds(state, route, objective) * factor;
+    return occupancyFactor(state, attemptLimit(state, slots), slots);
 }
 
 double workSeconds(const ServiceState &state, RouteKey route, Duration objective)
--- a/packages/broker/src/estimate.h
+++ b/packages/broker/src/estimate.h
@@ -20,8 +20,8 @@
 /// Factor by which work takes longer with \a running attempts on a server of \a slots slots.
 double occupancyFactor(const ServiceState &state, unsigned running, unsigned slots);
 
-/// Work of a route on a server that has as many attempts as it gets.
-double loadedSeconds(const ServiceState &state, RouteKey route, Duration objective);
+/// Factor by which work takes longer on a server that has as many attempts as it gets.
+double loadedFactor(const ServiceState &state);
 
 /// Learns from the duration of an answered attempt.
 void learnDuration(ServiceState &state, ServerState &server, const Occupant &occupant,
--- a/packages/broker/tests/brokertest.cpp
+++ b/packages/broker/tests/brokertest.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(lostAnswersAloneQuarantineNothing);
     CPPUNIT_TEST(probesOfALargeServiceAreBounded);
     CPPUNIT_TEST(ownZoneIsPreferredWhileItIsAsFast);
+    CPPUNIT_TEST(longQueueIsNotLookedThroughAtEveryEvent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -485,6 +486,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), takeDueProbes(bench.state, bench.now).size());
         CPPUNIT_ASSERT(takeDueProbes(bench.state, bench.now).empty());
     }
+
+    // Guards against a holder that falls silent in a burst, because its cost for each event grows
+    // with the waiting asks. The pattern is 500 asks in 50 ms for 80 slots.
+    void longQueueIsNotLookedThroughAtEveryEvent()
+    {
+        Bench bench(40);
+        bench.learnWork();
+        unsigned passes = 0;
+        for (int i = 0; i < 500; ++i) {
+            bench.now += 100us;
+            const Decision decision = ask(bench.state, bench.makeAsk(1s, 2s), bench.now);
+            if (decision.verdict != Verdict::Queued || !isAdvanceDue(bench.state, bench.now))
+                continue;
+            advance(bench.state, bench.now);
+            ++passes;
+        }
+        CPPUNIT_ASSERT(bench.state.queue.size() > 300);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(passes), passes < 50);
+        // A short queue is served at once.
+        bench.state.queue.resize(5);
+        CPPUNIT_ASSERT(isAdvanceDue(bench.state, bench.now));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokerTest);
--- a/packages/gateway/src/slotdesk.cpp
+++ b/packages/gateway/src/slotdesk.cpp
@@ -320,7 +320,9 @@
 
 void SlotDesk::advance(Book &service)
 {
-    const std::vector<broker::Decision> decisions = broker::advance(service.state, Clock::now());
+    std::vector<broker::Decision> decisions;
+    if (broker::isAdvanceDue(service.state, Clock::now()))
+        decisions = broker::advance(service.state, Clock::now());
     if (!service.state.queue.empty() && !service.isWaking) {
         service.isWaking = true;
         m_context.timers.callAfter(advanceInterval, [this, key = serviceKey(service.service)] {
