--- a/packages/cli/tests/clitest.cpp
+++ b/packages/cli/tests/clitest.cpp
@@ -145,8 +145,8 @@
     // against lines of other requests in it.
     void storiesOfRequestsMatchGoldenFiles()
     {
-        const std::string first = dataDir + "explain/first.log";
-        const std::string second = dataDir + "explain/second.log";
+        const std::string first = dataDir + "explain/first.jsonl";
+        const std::string second = dataDir + "explain/second.jsonl";
         for (const std::string request : {"lost", "refused", "unfinished"}) {
             CPPUNIT_ASSERT_EQUAL(0, run({"explain", request, first, second}));
             std::ostringstream expected;
@@ -163,7 +163,7 @@
         CPPUNIT_ASSERT(m_errors.find("no line is about request lost") != std::string::npos);
         CPPUNIT_ASSERT_EQUAL(0, run({"explain", "other"}));
         CPPUNIT_ASSERT(m_output.find("no line tells its end") != std::string::npos);
-        CPPUNIT_ASSERT_EQUAL(2, run({"explain", "lost", dataDir + "explain/none.log"}));
+        CPPUNIT_ASSERT_EQUAL(2, run({"explain", "lost", dataDir + "explain/none.jsonl"}));
     }
 
     // Guards against the later of two operators being told that it won.
