--- a/scripts/soakbed.py
+++ b/scripts/soakbed.py
@@ -126,6 +126,11 @@
     async def start(self):
         self.server = await asyncio.start_server(self.handle, *self.address)
 
+    async def stop(self):
+        """Accepts nothing more, and lets connections that have just arrived begin."""
+        self.server.close()
+        await asyncio.sleep(0)
+
     async def handle(self, reader, writer):
         if "reset" in self.faults:
             writer.transport.abort()
@@ -391,6 +396,12 @@
         ip = chance.choice(json.loads(body)["addresses"]).rpartition(":")[0]
         return next(each for each in self.instances if each.ip == ip)
 
+    async def stop_proxies(self):
+        for process in [*self.instances, *self.servers]:
+            for proxy in (getattr(process, name, None) for name in ("callers", "store", "proxy")):
+                if proxy:
+                    await proxy.stop()
+
     def runs(self):
         found = []
         for path in sorted(self.folder.glob("[st][0-9]*-[0-9]*.log")):
