Broker: Count the slots once for each pass over the queue

Every refusal walked over all servers of the service twice to tell slots and taken slots, also within one pass over a long queue, and advance(), the hedges and ask() computed the same sums several times. The sums are now taken once for each pass and handed on. Decisions do not change; 'taken' in the line of a refusal counts the grants of the same pass instead of walking again.

--- a/packages/broker/src/dispatch.cpp
+++ b/packages/broker/src/dispatch.cpp
@@ -189,17 +189,31 @@
     return slots;
 }
 
-Decision refuse(const ServiceState &state, const Ask &request, RefusalReason reason,
-                Duration retryAfter, TimePoint now)
+/// What the slots of a service carry.
+struct ServiceLoad
+{
+    unsigned slots = 0;
+    unsigned taken = 0;
+    std::size_t waiting = 0;
+};
+
+ServiceLoad currentLoad(const ServiceState &state, TimePoint now)
+{
+    const unsigned slots = usableSlots(state);
+    return {slots, slots - freeSlots(state, now), state.queue.size()};
+}
+
+Decision refuse(const Ask &request, RefusalReason reason, Duration retryAfter,
+                const ServiceLoad &load)
 {
     Decision decision;
     decision.key = request.key;
     decision.verdict = Verdict::Refused;
     decision.reason = reason;
     decision.retryAfter = std::clamp(retryAfter, minRetryAfter, maxRetryAfter);
-    decision.slots = usableSlots(state);
-    decision.taken = decision.slots - std::min(decision.slots, freeSlots(state, now));
-    decision.waiting = static_cast<unsigned>(state.queue.size());
+    decision.slots = load.slots;
+    decision.taken = load.taken;
+    decision.waiting = static_cast<unsigned>(load.waiting);
     return decision;
 }
 
@@ -226,18 +240,18 @@
 };
 
 /// Time until the waiting asks have been started, if no further ones come.
-Duration drainTime(const ServiceState &state)
+Duration drainTime(const ServiceState &state, unsigned slots)
 {
     const LoadedWork loaded(state);
     double work = 0;
     for (const Ask &each : state.queue)
         work += loaded.seconds(each);
-    return toDuration(work / std::max(1U, usableSlots(state)));
+    return toDuration(work / std::max(1U, slots));
 }
 
-std::size_t lateLimit(const ServiceState &state)
+std::size_t lateLimit(unsigned slots)
 {
-    return static_cast<std::size_t>(std::ceil(latePerSlot * usableSlots(state)));
+    return static_cast<std::size_t>(std::ceil(latePerSlot * slots));
 }
 
 /// Asks that can still be in time go first: urgent ones, then those with the earliest target.
@@ -311,12 +325,13 @@
 Decision askHedge(ServiceState &state, const Ask &request, TimePoint now)
 {
     const Choice choice = chooseFree(state, request, now);
-    const bool hasRoom = freeSlots(state, now) > hedgeFreeShare * usableSlots(state);
+    const ServiceLoad load = currentLoad(state, now);
+    const bool hasRoom = load.slots - load.taken > hedgeFreeShare * load.slots;
     const bool isUseful = choice.server && now + toDuration(choice.seconds) < request.deadline;
     if (!hasRoom || !isUseful)
-        return refuse(state, request, RefusalReason::HedgeNotUseful, {}, now);
+        return refuse(request, RefusalReason::HedgeNotUseful, {}, load);
     if (!takeRetry(state.budget, state.policy, slackShare(state, now), now))
-        return refuse(state, request, RefusalReason::RetryBudget, {}, now);
+        return refuse(request, RefusalReason::RetryBudget, {}, load);
     return grant(state, request, choice, now);
 }
 
@@ -352,25 +367,29 @@
     if (const auto repeated = repeatedAnswer(state, request, now))
         return *repeated;
     if (isQuarantined(state, request.fingerprint, now))
-        return refuse(state, request, RefusalReason::Quarantined, maxRetryAfter, now);
+        return refuse(request, RefusalReason::Quarantined, maxRetryAfter, currentLoad(state, now));
     if (request.isHedge)
         return askHedge(state, request, now);
     if (request.earlierAttempts == 0)
         countRequest(state.budget, state.policy, now);
-    if (usableSlots(state) == 0)
-        return refuse(state, request, RefusalReason::NoServer, maxRetryAfter, now);
+    const unsigned slots = usableSlots(state);
+    if (slots == 0)
+        return refuse(request, RefusalReason::NoServer, maxRetryAfter, currentLoad(state, now));
     if (!fitsDeadline(state, request, now))
-        return refuse(state, request, RefusalReason::DeadlineUnmeetable, minRetryAfter, now);
+        return refuse(request, RefusalReason::DeadlineUnmeetable, minRetryAfter,
+                      currentLoad(state, now));
     if (request.earlierAttempts > 0
         && !takeRetry(state.budget, state.policy, slackShare(state, now), now))
-        return refuse(state, request, RefusalReason::RetryBudget, drainTime(state), now);
+        return refuse(request, RefusalReason::RetryBudget, drainTime(state, slots),
+                      currentLoad(state, now));
     expireOccupants(state, now);
     if (state.queue.empty()) {
         if (const auto decision = tryStart(state, request, now))
             return *decision;
     }
-    if (state.queue.size() >= queuePerSlot * usableSlots(state))
-        return refuse(state, request, RefusalReason::QueueFull, drainTime(state), now);
+    if (state.queue.size() >= queuePerSlot * slots)
+        return refuse(request, RefusalReason::QueueFull, drainTime(state, slots),
+                      currentLoad(state, now));
     state.queue.push_back(request);
     Decision decision;
     decision.key = request.key;
@@ -391,26 +410,25 @@
         return decisions;
     sortQueue(state, now);
     std::vector<Ask> waiting;
-    std::size_t slots = 0;
     std::size_t late = 0;
-    const std::size_t free = freeSlots(state, now);
-    const std::size_t maxLate = lateLimit(state);
+    ServiceLoad load = currentLoad(state, now);
+    const std::size_t maxLate = lateLimit(load.slots);
     const LoadedWork loaded(state);
-    const Duration untilEmpty = drainTime(state);
+    const Duration untilEmpty = drainTime(state, load.slots);
     for (const Ask &each : state.queue) {
         if (!fitsDeadline(state, each, now)) {
             decisions.push_back(
-                refuse(state, each, RefusalReason::DeadlineUnmeetable, untilEmpty / 2, now));
+                refuse(each, RefusalReason::DeadlineUnmeetable, untilEmpty / 2, load));
             continue;
         }
         std::optional<Decision> decision;
-        if (slots < free)
+        if (load.taken < load.slots)
             decision = tryStart(state, each, now);
         if (decision) {
-            ++slots;
+            ++load.taken;
             decisions.push_back(*decision);
         } else if (!loaded.isInTime(each, now) && ++late > maxLate) {
-            decisions.push_back(refuse(state, each, RefusalReason::QueueFull, untilEmpty, now));
+            decisions.push_back(refuse(each, RefusalReason::QueueFull, untilEmpty, load));
         } else {
             waiting.push_back(each);
         }
