Gateway: Pack records directly; merge repeated failure paths

Records were converted and then copied once more before they were packed. The two ends of a failed fetch from a peer turned to the store by the same lines, and a call handed its log lines on in four places. Behaviour is unchanged.

--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -414,8 +414,12 @@
         return;
     }
     m_isOver = true;
-    m_path.m_context.log.addLines(m_lines, false);
-    m_lines.clear();
+    writeLines(false);
+}
+
+void Call::writeLines(bool isOrdinary)
+{
+    m_path.m_context.log.addLines(std::exchange(m_lines, {}), isOrdinary);
 }
 
 bool Call::deliverServerFailure()
@@ -456,8 +460,7 @@
     m_path.countAnswer(response.status, "backend_answer");
     m_path.recordLatency(latency);
     m_connection->respond(response.status, headers, response.body, false);
-    m_path.m_context.log.addLines(m_lines, isOrdinary);
-    m_lines.clear();
+    writeLines(isOrdinary);
     close();
 }
 
@@ -481,8 +484,7 @@
     if (status == 503)
         headers.emplace_back("Retry-After", formatSeconds(retryAfter));
     m_connection->respond(status, headers, reason, false);
-    m_path.m_context.log.addLines(m_lines, false);
-    m_lines.clear();
+    writeLines(false);
     close();
 }
 
@@ -518,8 +520,7 @@
     m_askingHedge.reset();
     cancelAttempts(isDeadline ? broker::AttemptOutcome::TimedOut
                               : broker::AttemptOutcome::Cancelled);
-    m_path.m_context.log.addLines(m_lines, false);
-    m_lines.clear();
+    writeLines(false);
 }
 
 } // namespace apricotrock::gateway
--- a/packages/gateway/src/call.h
+++ b/packages/gateway/src/call.h
@@ -63,6 +63,8 @@
     bool deliverServerFailure();
     void deliver(std::size_t index, const loop::HttpResponse &response);
     void fail(int status, std::string_view reason, Duration retryAfter);
+    /// Hands the lines of the request to the log.
+    void writeLines(bool isOrdinary);
     void close();
     void cancelAttempts(broker::AttemptOutcome outcome);
     [[nodiscard]] bool hasRunningAttempt() const;
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -25,28 +25,19 @@
 constexpr std::string_view configurationPath = "/configuration";
 constexpr std::string_view serversPath = "/servers";
 
-std::vector<std::uint8_t> toBytes(const std::string &text)
+/// Puts \a records into \a message, compressed.
+void packUpdates(const std::vector<StoredRecord> &records, wire::GatewayMessageT &message)
 {
-    return {text.begin(), text.end()};
-}
-
-wire::ServerUpdateT encodeRecord(const StoredRecord &record)
-{
-    wire::ServerUpdateT update;
-    update.id = record.key;
-    update.offset = record.offset;
-    if (record.value)
-        update.value = toBytes(*record.value);
-    return update;
-}
-
-/// Puts \a updates into \a message, compressed.
-void packUpdates(const std::vector<wire::ServerUpdateT> &updates, wire::GatewayMessageT &message)
-{
-    flatbuffers::FlatBufferBuilder builder(updateBytes);
     wire::ServerUpdatesT table;
-    for (const wire::ServerUpdateT &each : updates)
-        table.updates.push_back(std::make_unique<wire::ServerUpdateT>(each));
+    for (const StoredRecord &each : records) {
+        auto update = std::make_unique<wire::ServerUpdateT>();
+        update->id = each.key;
+        update->offset = each.offset;
+        if (each.value)
+            update->value.assign(each.value->begin(), each.value->end());
+        table.updates.push_back(std::move(update));
+    }
+    flatbuffers::FlatBufferBuilder builder(updateBytes);
     builder.Finish(wire::ServerUpdates::Pack(builder, &table));
     uLongf size = compressBound(builder.GetSize());
     message.packed_updates.resize(size);
@@ -95,11 +86,10 @@
         message.incarnation = m_context.membership.self().incarnation;
         message.updates_from = from;
         std::size_t bytes = 0;
-        std::vector<wire::ServerUpdateT> packed;
+        std::vector<StoredRecord> packed;
         while (next < updates.size() && (bytes == 0 || bytes < updateBytes)) {
             bytes += updates[next].value.value_or("").size() + updates[next].key.size();
-            packed.push_back(encodeRecord(updates[next]));
-            ++next;
+            packed.push_back(std::move(updates[next++]));
         }
         packUpdates(packed, message);
         // Each datagram covers the positions up to the first update of the next one.
@@ -117,7 +107,7 @@
 {
     const wire::TableState &tables = *message.tables;
     if (const auto updates = unpackUpdates(message); !updates)
-        logUnreadable(ip, updates.error());
+        logUnusable(ip, updates.error().message);
     else if (!updates->empty())
         applyServers(*updates, message.updates_from, tables.server_position(), false, "peer");
     if (tables.is_reader()) {
@@ -142,11 +132,18 @@
         fetchConfiguration(ip, tables.configuration_version());
 }
 
-void TableKeeper::logUnreadable(const std::string &ip, const Error &error)
+void TableKeeper::logUnusable(const std::string &ip, std::string_view reason)
 {
-    m_context.log.write(EventLog::Level::Warning, "peer_tables_failed", [&](LogLine &line) {
-        line.text("peer", ip).text("reason", error.message);
-    });
+    m_context.log.write(EventLog::Level::Warning, "peer_tables_failed",
+                        [&](LogLine &line) { line.text("peer", ip).text("reason", reason); });
+}
+
+void TableKeeper::readInsteadOfPeer(bool wantsServers)
+{
+    if (!wantsServers)
+        readConfiguration();
+    else if (m_context.servers.hasSnapshot())
+        readServers();
 }
 
 void TableKeeper::planCatchUp(std::uint64_t position)
@@ -210,11 +207,7 @@
             m_isFetching = false;
             m_context.log.write(EventLog::Level::Warning, "peer_tables_timeout",
                                 [&ip](LogLine &line) { line.text("peer", ip); });
-            // The store is the other source.
-            if (wantsServers && m_context.servers.hasSnapshot())
-                readServers();
-            else if (!wantsServers)
-                readConfiguration();
+            readInsteadOfPeer(wantsServers);
         });
     connection->send(
         loop::formatRequest("GET", path, {{"Host", ip}}, {}, false), false, fetchTimeout, nullptr,
@@ -222,13 +215,8 @@
             m_context.timers.cancel(timer);
             m_isFetching = false;
             if (result.status != loop::ClientStatus::Answered || result.response.status != 200) {
-                m_context.log.write(
-                    EventLog::Level::Warning, "peer_tables_failed",
-                    [&](LogLine &line) { line.text("peer", ip).text("reason", result.detail); });
-                if (wantsServers && m_context.servers.hasSnapshot())
-                    readServers();
-                else if (!wantsServers)
-                    readConfiguration();
+                logUnusable(ip, result.detail);
+                readInsteadOfPeer(wantsServers);
                 return;
             }
             const std::string &body = result.response.body;
@@ -244,7 +232,7 @@
             wire::GetGatewayMessage(body.data())->UnPackTo(&message);
             const auto updates = unpackUpdates(message);
             if (!updates)
-                logUnreadable(ip, updates.error());
+                logUnusable(ip, updates.error().message);
             else if (message.tables)
                 applyServers(*updates, 0, message.tables->server_position(), true, "peer");
         });
@@ -263,10 +251,10 @@
     }
     wire::GatewayMessageT message;
     message.tables = std::make_unique<wire::TableState>(state());
-    std::vector<wire::ServerUpdateT> updates;
+    std::vector<StoredRecord> updates;
     for (const auto &[id, record] : m_records) {
         if (record.value)
-            updates.push_back(encodeRecord(record));
+            updates.push_back(record);
     }
     packUpdates(updates, message);
     flatbuffers::FlatBufferBuilder builder(4096);
--- a/packages/gateway/src/tablekeeper.h
+++ b/packages/gateway/src/tablekeeper.h
@@ -51,8 +51,10 @@
     void applyConfigurationRecords(const std::vector<StoredRecord> &records);
     /// Tells the others what changed between two positions.
     void broadcastUpdates(std::vector<StoredRecord> updates, std::uint64_t from, std::uint64_t end);
-    /// Tells of tables of a peer that could not be used; the store is the other source.
-    void logUnreadable(const std::string &ip, const Error &error);
+    /// Tells of tables of a peer that could not be used.
+    void logUnusable(const std::string &ip, std::string_view reason);
+    /// Turns to the store, the other source of tables.
+    void readInsteadOfPeer(bool wantsServers);
     /// Reads from the store what a change up to \a position needs, unless it arrives meanwhile.
     void planCatchUp(std::uint64_t position);
     void fetchConfiguration(const std::string &ip, std::uint64_t version);
