Loop: Use the header functions of package http

Package loop had written findHeader(), equalsIgnoringCase(), the header list and the reason phrases again. The lists of hop-by-hop headers differ (Proxy-Authorization, Expect) and stay apart.

--- a/packages/http/include/apricotrock/http.h
+++ b/packages/http/include/apricotrock/http.h
@@ -61,6 +61,8 @@
 /// Returns the value of the first header \a name, or nothing.
 std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view name);
 bool equalsIgnoringCase(std::string_view a, std::string_view b);
+/// Returns the usual reason phrase of \a status, or "Status".
+std::string_view reasonPhrase(int status);
 /// Returns true for headers that belong to one connection only.
 bool isHopByHopHeader(std::string_view name);
 /// Removes hop-by-hop headers, those named by a Connection header included.
--- a/packages/loop/include/apricotrock/loop.h
+++ b/packages/loop/include/apricotrock/loop.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "apricotrock/base.h"
+#include "apricotrock/http.h"
 
 #include <asio.hpp>
 
@@ -109,12 +109,11 @@
     TimePoint m_sampleSecond;
 };
 
-using Headers = std::vector<std::pair<std::string, std::string>>;
+using Headers = HttpHeaders;
+using apricotrock::equalsIgnoringCase;
+using apricotrock::findHeader;
 
-/// Returns the first value of a header; names are compared without case.
-std::optional<std::string_view> findHeader(const Headers &headers, std::string_view name);
 std::size_t countHeader(const Headers &headers, std::string_view name);
-bool equalsIgnoringCase(std::string_view left, std::string_view right);
 /// True for headers that concern one connection only, those named by `Connection` included.
 bool isHopByHop(const Headers &headers, std::string_view name);
 
@@ -143,9 +142,6 @@
     bool keepAlive = true;
 };
 
-/// Returns the usual reason phrase of \a status.
-std::string_view reasonPhrase(int status);
-
 struct ServerLimits
 {
     std::size_t maxHeaderBytes = std::size_t(16) * 1024;
--- a/packages/loop/src/httpmessage.cpp
+++ b/packages/loop/src/httpmessage.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <cctype>
 
 namespace apricotrock::loop {
 
@@ -39,28 +38,11 @@
 
 } // namespace
 
-bool equalsIgnoringCase(std::string_view left, std::string_view right)
-{
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](char a, char b) {
-        return std::tolower(static_cast<unsigned char>(a))
-            == std::tolower(static_cast<unsigned char>(b));
-    });
-}
-
-std::optional<std::string_view> findHeader(const Headers &headers, std::string_view name)
-{
-    for (const auto &[key, value] : headers) {
-        if (equalsIgnoringCase(key, name))
-            return value;
-    }
-    return std::nullopt;
-}
-
 std::size_t countHeader(const Headers &headers, std::string_view name)
 {
     return static_cast<std::size_t>(
         std::count_if(headers.begin(), headers.end(),
-                      [name](const auto &each) { return equalsIgnoringCase(each.first, name); }));
+                      [name](const auto &each) { return equalsIgnoringCase(each.name, name); }));
 }
 
 bool isHopByHop(const Headers &headers, std::string_view name)
@@ -90,38 +72,6 @@
     return std::nullopt;
 }
 
-std::string_view reasonPhrase(int status)
-{
-    switch (status) {
-    case 200:
-        return "OK";
-    case 400:
-        return "Bad Request";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 413:
-        return "Content Too Large";
-    case 421:
-        return "Misdirected Request";
-    case 429:
-        return "Too Many Requests";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 500:
-        return "Internal Server Error";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Status";
-    }
-}
-
 std::string formatRequest(std::string_view method, std::string_view target, const Headers &headers,
                           std::string_view body, bool hasBody)
 {
--- a/packages/loop/src/messageparser.cpp
+++ b/packages/loop/src/messageparser.cpp
@@ -100,7 +100,7 @@
     if (self.headers.empty() || self.m_wasValue)
         self.headers.emplace_back();
     self.m_wasValue = false;
-    self.headers.back().first.append(data, size);
+    self.headers.back().name.append(data, size);
     return self.addHeaderBytes(size + 2);
 }
 
@@ -110,7 +110,7 @@
     if (self.hasHeaders)
         return 0;
     self.m_wasValue = true;
-    self.headers.back().second.append(data, size);
+    self.headers.back().value.append(data, size);
     return self.addHeaderBytes(size + 2);
 }
 
--- a/packages/loop/tests/httptest.cpp
+++ b/packages/loop/tests/httptest.cpp
@@ -119,7 +119,7 @@
         const std::string own = "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\nnew";
         RawServer server(m_context, {late + own});
         const auto connection = connect(server);
-        const ClientResult result = exchange(connection, [](const HttpResponse &response) {
+        const ClientResult result = exchange(connection, [](const loop::HttpResponse &response) {
             return findHeader(response.headers, "x-id") == "2";
         });
         CPPUNIT_ASSERT_EQUAL(std::string("new"), result.response.body);
