--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -213,12 +213,12 @@
             || loop::equalsIgnoringCase(name, names.deadlineMs)
             || loop::equalsIgnoringCase(name, names.expectedServer))
             continue;
-        headers.emplace_back(name, value);
+        headers.push_back({name, value});
     }
     const auto left =
         std::chrono::duration_cast<milliseconds>(m_plan.deadline - Clock::now()).count();
-    headers.emplace_back(names.deadlineMs, std::to_string(std::max<std::int64_t>(left, 1)));
-    headers.emplace_back(names.expectedServer, attempt.server.id);
+    headers.push_back({names.deadlineMs, std::to_string(std::max<std::int64_t>(left, 1))});
+    headers.push_back({names.expectedServer, attempt.server.id});
     return headers;
 }
 
@@ -447,7 +447,7 @@
             || loop::equalsIgnoringCase(name, "content-length")
             || loop::equalsIgnoringCase(name, names.load))
             continue;
-        headers.emplace_back(name, value);
+        headers.push_back({name, value});
     }
     const Duration latency = Clock::now() - m_plan.arrived;
     const bool isOrdinary = response.status < 500 && latency < m_plan.objective && m_sent <= 1;
@@ -482,7 +482,7 @@
     loop::Headers headers{{"Content-Type", "text/plain"},
                           {m_path.m_context.adapter.headers.requestId, m_plan.requestId}};
     if (status == 503)
-        headers.emplace_back("Retry-After", formatSeconds(retryAfter));
+        headers.push_back({"Retry-After", formatSeconds(retryAfter)});
     m_connection->respond(status, headers, reason, false);
     writeLines(false);
     close();
--- a/packages/gateway/src/requestpath.cpp
+++ b/packages/gateway/src/requestpath.cpp
@@ -80,11 +80,11 @@
     });
     loop::Headers headers{{"Content-Type", "text/plain"}};
     if (id)
-        headers.emplace_back(m_context.adapter.headers.requestId, std::string(*id));
+        headers.push_back({m_context.adapter.headers.requestId, std::string(*id)});
     if (status == 503)
-        headers.emplace_back(
-            "Retry-After",
-            std::to_string(std::chrono::duration<double>(notReadyRetryAfter).count()));
+        headers.push_back(
+            {"Retry-After",
+             std::to_string(std::chrono::duration<double>(notReadyRetryAfter).count())});
     connection->respond(status, headers, text, false);
 }
 
