Gateway: Show what the leader of a service spends its time on

Each leader now logs leader_load once a second and service: requests, releases, longest queue, entries examined and time of the decisions, time spent on datagrams, and the longest delay of the event loop. The same figures are counters; the queue length is a gauge, the delay a histogram. The broker counts the servers and queued requests that it examines, so that a test can charge decisions in virtual time.

--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -232,6 +232,9 @@
     /// Time since which this state has received the requests of all instances.
     TimePoint leadingSince;
     bool isLeading = false;
+    /// Servers and queued requests that all decisions so far have examined, with repetitions. In
+    /// proportion to their processor time, but the same on every machine.
+    std::uint64_t examinedEntries = 0;
 };
 
 /// Replaces the set of backend servers and keeps the state of those that remain in it.
--- a/packages/broker/src/dispatch.cpp
+++ b/packages/broker/src/dispatch.cpp
@@ -113,6 +113,7 @@
     ServerChoice best;
     AttemptLimits limits(state);
     const double work = workSeconds(state, request.route, request.objective);
+    state.examinedEntries += state.servers.size();
     for (auto &[key, server] : state.servers) {
         if (!isAvailable(server, now) || isExcluded(request, key))
             continue;
@@ -135,6 +136,7 @@
     double best = std::numeric_limits<double>::max();
     AttemptLimits limits(state);
     const double work = workSeconds(state, request.route, request.objective);
+    state.examinedEntries += state.servers.size();
     for (auto &[key, server] : state.servers) {
         if (!isAvailable(server, now) || isExcluded(request, key) || server.activeAttempts.empty())
             continue;
@@ -175,9 +177,10 @@
     return decision;
 }
 
-unsigned totalSlots(const ServiceState &state)
+unsigned totalSlots(ServiceState &state)
 {
     unsigned slots = 0;
+    state.examinedEntries += state.servers.size();
     AttemptLimits limits(state);
     for (const auto &[key, server] : state.servers) {
         if (server.info.isUsable)
@@ -186,9 +189,10 @@
     return slots;
 }
 
-unsigned freeSlots(const ServiceState &state, TimePoint now)
+unsigned freeSlots(ServiceState &state, TimePoint now)
 {
     unsigned slots = 0;
+    state.examinedEntries += state.servers.size();
     AttemptLimits limits(state);
     for (const auto &[key, server] : state.servers) {
         const unsigned limit = limits(server);
@@ -207,7 +211,7 @@
     std::size_t waiting = 0;
 };
 
-ServiceLoad currentLoad(const ServiceState &state, TimePoint now)
+ServiceLoad currentLoad(ServiceState &state, TimePoint now)
 {
     const unsigned slots = totalSlots(state);
     return {slots, slots - freeSlots(state, now), state.queue.size()};
@@ -251,8 +255,9 @@
 };
 
 /// Returns the time until all queued requests have been started if no further ones arrive.
-Duration queueDrainTime(const ServiceState &state, unsigned slots)
+Duration queueDrainTime(ServiceState &state, unsigned slots)
 {
+    state.examinedEntries += state.queue.size();
     const FullLoadWork fullLoadWork(state);
     double work = 0;
     for (const AttemptRequest &each : state.queue)
@@ -277,6 +282,7 @@
         TimePoint::rep order;
         std::size_t index;
     };
+    state.examinedEntries += state.queue.size();
     const FullLoadWork fullLoadWork(state);
     std::vector<Rank> ranks;
     ranks.reserve(state.queue.size());
@@ -321,6 +327,7 @@
 
 void removeExpiredAttempts(ServiceState &state, TimePoint now)
 {
+    state.examinedEntries += state.servers.size();
     for (auto &[key, server] : state.servers) {
         std::erase_if(server.activeAttempts,
                       [now](const ActiveAttempt &each) { return each.expires <= now; });
@@ -350,9 +357,10 @@
 
 /// Returns the current decision of a request that was received before, so that a repeated message
 /// takes no second slot.
-std::optional<Decision> findExistingDecision(const ServiceState &state,
-                                             const AttemptRequest &request, TimePoint now)
+std::optional<Decision> findExistingDecision(ServiceState &state, const AttemptRequest &request,
+                                             TimePoint now)
 {
+    state.examinedEntries += state.queue.size() + state.servers.size();
     for (const AttemptRequest &each : state.queue) {
         if (each.key != request.key)
             continue;
--- a/packages/broker/src/service.cpp
+++ b/packages/broker/src/service.cpp
@@ -128,12 +128,14 @@
 
 void release(ServiceState &state, const AttemptEnd &end, TimePoint now)
 {
+    state.examinedEntries += state.queue.size();
     if (withdraw(state, end.key))
         return;
     if (end.server != 0) {
         recordAttemptEnd(state, end, now);
         return;
     }
+    state.examinedEntries += state.servers.size();
     for (auto &[key, server] : state.servers)
         removeAttempt(server, end.key);
 }
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -15,6 +15,7 @@
 using std::chrono::seconds;
 
 constexpr Duration checkInterval = milliseconds(100);
+constexpr Duration loadLogInterval = seconds(1);
 /// A difference between boot time and steady time that grows by this shows a suspended machine.
 constexpr Duration suspensionLimit = milliseconds(300);
 /// Delays of the repeated announcements that this instance is leaving.
@@ -66,7 +67,9 @@
           metricsListener(io, timers, [this](const auto &connection) {
               connection->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                                   context.metrics.text(), true);
-          })
+          }),
+          loopDelay(context.metrics.histogram("apricotrock_event_loop_delay_seconds",
+                                              "Delay of a periodic timer of the event loop."))
     { }
 
     PeerChannel::Handlers peerHandlers()
@@ -122,8 +125,24 @@
         peers.announce();
     }
 
+    /// Records how late the periodic check runs: the time for which the event loop was busy or the
+    /// machine gave the process no processor time.
+    void measureLoopDelay()
+    {
+        const TimePoint now = Clock::now();
+        const Duration delay = std::max(Duration(0), now - lastCheck - checkInterval);
+        lastCheck = now;
+        loopDelay.add(delay);
+        maxLoopDelay = std::max(maxLoopDelay, delay);
+        if (now - loadLogged < loadLogInterval)
+            return;
+        loadLogged = now;
+        slotAllocator.logLeaderLoad(std::exchange(maxLoopDelay, {}));
+    }
+
     void check()
     {
+        measureLoopDelay();
         const Duration offset = readClock(CLOCK_BOOTTIME) - readClock(CLOCK_MONOTONIC);
         if (offset - suspendedTime > suspensionLimit) {
             context.log.write(
@@ -163,6 +182,10 @@
     loop::HttpListener callers;
     loop::HttpListener metricsListener;
     Duration suspendedTime{};
+    metrics::Histogram &loopDelay;
+    TimePoint lastCheck = Clock::now();
+    TimePoint loadLogged = Clock::now();
+    Duration maxLoopDelay{};
 };
 
 Gateway::Gateway(asio::io_context &context, loop::LoopTimers &timers, loop::EventLog &log,
--- a/packages/gateway/src/peerchannel.cpp
+++ b/packages/gateway/src/peerchannel.cpp
@@ -340,8 +340,12 @@
         asio::buffer(m_buffer), m_sender, [this](std::error_code error, std::size_t count) {
             if (error == asio::error::operation_aborted)
                 return;
-            if (!error)
+            if (!error) {
+                const TimePoint started = Clock::now();
                 handle(m_sender.address().to_string(), m_buffer.data(), count);
+                m_handlingTime += Clock::now() - started;
+                ++m_received;
+            }
             receive();
         });
 }
--- a/packages/gateway/src/peerchannel.h
+++ b/packages/gateway/src/peerchannel.h
@@ -42,6 +42,11 @@
     /// Sets the function that returns the table state sent with every heartbeat.
     void setTableState(std::function<wire::TableState()> state) { m_tableState = std::move(state); }
 
+    /// Returns the number of datagrams received since the last call.
+    std::uint64_t takeReceived() { return std::exchange(m_received, 0); }
+    /// Returns the time spent on received datagrams, decisions included, since the last call.
+    Duration takeHandlingTime() { return std::exchange(m_handlingTime, {}); }
+
 private:
     wire::GatewayMessageT &pending(const std::string &ip);
     void flush();
@@ -74,6 +79,8 @@
     TimePoint m_instancesRequested;
     std::size_t m_seedRounds = 0;
     TimePoint m_zoneReported;
+    std::uint64_t m_received = 0;
+    Duration m_handlingTime{};
     metrics::Counter &m_datagramsSent;
     metrics::Counter &m_bytesSent;
     metrics::Counter &m_datagramsInvalid;
--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -94,8 +94,81 @@
       m_remoteRequests(context.counter("slot_asks_total", "", {{"decided", "peer"}})),
       m_fallbackRequests(context.counter("slot_asks_total", "", {{"decided", "fallback"}})),
       m_lateGrants(context.counter("slot_late_grants_total",
-                                   "Slots that were granted after the ask was given up."))
-{ }
+                                   "Slots that were granted after the ask was given up.")),
+      m_receivedRequests(context.counter("slot_requests_received_total",
+                                         "Slot requests received from other instances.")),
+      m_receivedReleases(context.counter("slot_releases_received_total",
+                                         "Slot releases received from other instances.")),
+      m_decisionMicroseconds(context.counter("slot_decision_microseconds_total",
+                                             "Time spent on decisions about slots.")),
+      m_examinedEntries(
+          context.counter("slot_decision_examined_total",
+                          "Servers and queued requests examined by decisions about slots."))
+{
+    context.metrics.gauge("apricotrock_slot_queue_length",
+                          "Queued slot requests of the services that this instance leads.", {},
+                          [this] {
+                              std::size_t queued = 0;
+                              for (const auto &[key, each] : m_services)
+                                  queued += each.state.queue.size();
+                              return static_cast<double>(queued);
+                          });
+}
+
+class SlotAllocator::DecisionTimer
+{
+public:
+    DecisionTimer(SlotAllocator &allocator, ServiceSlots &service)
+        : m_allocator(allocator), m_service(service), m_started(Clock::now()),
+          m_examined(service.state.examinedEntries)
+    { }
+    ~DecisionTimer()
+    {
+        const Duration duration = Clock::now() - m_started;
+        m_service.load.decisionTime += duration;
+        m_service.load.maxQueued =
+            std::max(m_service.load.maxQueued, m_service.state.queue.size());
+        m_allocator.m_decisionMicroseconds.add(static_cast<std::uint64_t>(
+            std::chrono::duration_cast<microseconds>(duration).count()));
+        m_allocator.m_examinedEntries.add(m_service.state.examinedEntries - m_examined);
+    }
+    DecisionTimer(const DecisionTimer &) = delete;
+    DecisionTimer &operator=(const DecisionTimer &) = delete;
+
+private:
+    SlotAllocator &m_allocator;
+    ServiceSlots &m_service;
+    TimePoint m_started;
+    std::uint64_t m_examined;
+};
+
+void SlotAllocator::logLeaderLoad(Duration loopDelay)
+{
+    const std::uint64_t datagrams = m_peers.takeReceived();
+    const Duration handlingTime = m_peers.takeHandlingTime();
+    for (auto &[key, each] : m_services) {
+        LeaderLoad &load = each.load;
+        if (load.requests > 0) {
+            m_context.log.write(EventLog::Level::Info, "leader_load", [&](LogLine &line) {
+                line.text("service", each.name)
+                    .text("holder", each.leader)
+                    .number("requests", load.requests)
+                    .number("releases", load.releases)
+                    .number("waiting", static_cast<std::int64_t>(load.maxQueued))
+                    .number("servers", static_cast<std::int64_t>(each.state.servers.size()))
+                    .number("examined",
+                            static_cast<std::int64_t>(each.state.examinedEntries
+                                                      - load.examinedBefore))
+                    .milliseconds("decisions", load.decisionTime)
+                    .number("datagrams", static_cast<std::int64_t>(datagrams))
+                    .milliseconds("datagram_handling", handlingTime)
+                    .milliseconds("loop_delay", loopDelay);
+            });
+        }
+        load = {};
+        load.examinedBefore = each.state.examinedEntries;
+    }
+}
 
 SlotAllocator::ServiceSlots &SlotAllocator::serviceSlots(const std::string &service)
 {
@@ -247,8 +320,7 @@
     PendingRequest &pending = m_pendingRequests.at(ticket);
     pending.leader = m_context.settings.ip;
     ServiceSlots &service = serviceSlots(pending.request.service);
-    const broker::Decision decision =
-        broker::requestAttempt(service.state, pending.request.attempt, Clock::now());
+    const broker::Decision decision = decide(service, pending.request.attempt);
     if (decision.verdict == broker::Verdict::Queued) {
         processQueue(service);
         return;
@@ -256,6 +328,12 @@
     complete(ticket, {decision, by, m_context.settings.ip});
 }
 
+broker::Decision SlotAllocator::decide(ServiceSlots &service, const broker::AttemptRequest &request)
+{
+    const DecisionTimer timer(*this, service);
+    return broker::requestAttempt(service.state, request, Clock::now());
+}
+
 void SlotAllocator::complete(std::uint64_t ticket, const SlotDecision &decision)
 {
     const auto found = m_pendingRequests.find(ticket);
@@ -326,8 +404,10 @@
 void SlotAllocator::processQueue(ServiceSlots &service)
 {
     std::vector<broker::Decision> decisions;
-    if (broker::isQueuePassDue(service.state, Clock::now()))
+    if (broker::isQueuePassDue(service.state, Clock::now())) {
+        const DecisionTimer timer(*this, service);
         decisions = broker::processQueue(service.state, Clock::now());
+    }
     if (!service.state.queue.empty() && !service.isQueuePassScheduled) {
         service.isQueuePassScheduled = true;
         m_context.timers.callAfter(queuePassInterval, [this, key = serviceKey(service.name)] {
@@ -381,7 +461,9 @@
     }
     service->lastPeerRequest = now;
     updateLeader(*service, now);
-    broker::Decision decision = broker::requestAttempt(service->state, ask, now);
+    ++service->load.requests;
+    m_receivedRequests.add();
+    const broker::Decision decision = decide(*service, ask);
     sendSlotResponse(ip, decision);
     if (decision.verdict == broker::Verdict::Queued)
         processQueue(*service);
@@ -438,7 +520,12 @@
         end.load = broker::LoadReport{message.running(), message.waiting(), message.slots(),
                                       message.slowdown_percent() / 100.0};
     }
-    broker::release(service->state, end, Clock::now());
+    ++service->load.releases;
+    m_receivedReleases.add();
+    {
+        const DecisionTimer timer(*this, *service);
+        broker::release(service->state, end, Clock::now());
+    }
     processQueue(*service);
 }
 
--- a/packages/gateway/src/slotallocator.h
+++ b/packages/gateway/src/slotallocator.h
@@ -57,6 +57,10 @@
     /// Returns a backend server by its key, or nullptr.
     [[nodiscard]] const fleet::KnownServer *findServer(broker::ServerKey key) const;
 
+    /// Logs the load of each service that this instance led since the last call, and starts a new
+    /// period. \a loopDelay is the longest delay of the event loop in the period.
+    void logLeaderLoad(Duration loopDelay);
+
     struct DueProbe
     {
         std::string service;
@@ -70,6 +74,17 @@
     void handleRelease(const std::string &ip, const wire::SlotRelease &end);
 
 private:
+    /// What one service cost its leader since the last call of logLeaderLoad().
+    struct LeaderLoad
+    {
+        unsigned requests = 0;
+        unsigned releases = 0;
+        std::size_t maxQueued = 0;
+        std::uint64_t examinedBefore = 0;
+        Duration decisionTime{};
+    };
+    /// Adds the time of its scope to the decision time of a service.
+    class DecisionTimer;
     struct ServiceSlots
     {
         std::string name;
@@ -77,6 +92,7 @@
         std::string leader;
         /// Time of the last slot request of another instance.
         TimePoint lastPeerRequest;
+        LeaderLoad load;
         bool isQueuePassScheduled = false;
     };
     struct PendingRequest
@@ -96,6 +112,7 @@
     void handleRequestTimeout(std::uint64_t ticket);
     void fallBackToLocal(std::uint64_t ticket);
     void decideLocally(std::uint64_t ticket, DecidedBy by);
+    broker::Decision decide(ServiceSlots &service, const broker::AttemptRequest &request);
     void complete(std::uint64_t ticket, const SlotDecision &decision);
     void processQueue(ServiceSlots &service);
     void deliver(const broker::Decision &decision);
@@ -116,6 +133,10 @@
     metrics::Counter &m_remoteRequests;
     metrics::Counter &m_fallbackRequests;
     metrics::Counter &m_lateGrants;
+    metrics::Counter &m_receivedRequests;
+    metrics::Counter &m_receivedReleases;
+    metrics::Counter &m_decisionMicroseconds;
+    metrics::Counter &m_examinedEntries;
 };
 
 } // namespace apricotrock::gateway
