--- /dev/null
+++ b/packages/broker/tests/overloadtest.cpp
@@ -0,0 +1,383 @@
+#include "apricotrock/broker.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+
+using namespace apricotrock;
+using namespace apricotrock::broker;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned slotsPerServer = 4;
+constexpr RouteKey route = 7;
+constexpr Duration objective = 800ms;
+constexpr Duration routeTimeout = 2500ms;
+/// Time after which a sender decides without the leader.
+constexpr Duration requestTimeout = 40ms;
+constexpr Duration workTime = 280ms;
+constexpr Duration passTimerInterval = 5ms;
+constexpr Duration probeTick = 25ms;
+constexpr double slowdownOfSlow = 4.0;
+/// Factor by which a request takes longer on a server without a free slot.
+constexpr double fullServerFactor = 1.7;
+/// Processor time of the leader for one examined entry and for one message, on half of a core.
+constexpr Duration entryCost = 90ns;
+constexpr Duration messageCost = 50us;
+
+std::vector<ServerInfo> makeServers(unsigned count)
+{
+    std::vector<ServerInfo> servers;
+    for (unsigned i = 1; i <= count; ++i)
+        servers.push_back({i, slotsPerServer, true, {}, i % 4});
+    return servers;
+}
+
+AttemptRequest makeRequest(std::uint64_t ticket, TimePoint now)
+{
+    AttemptRequest request;
+    request.key = {1, ticket};
+    request.route = route;
+    request.objective = objective;
+    request.target = now + objective;
+    request.deadline = now + routeTimeout;
+    request.zone = static_cast<std::uint32_t>(ticket % 4);
+    return request;
+}
+
+/// A service, its leader and the instances that send it slot requests, in virtual time. The leader
+/// is busy for as long as its decisions take; a sender that gets no decision in time decides by
+/// its own state. Times of a backend server: 280 ms, more if all its slots are taken or while its
+/// machine is slow; what exceeds its slots waits there.
+class OverloadSimulation
+{
+public:
+    explicit OverloadSimulation(unsigned servers) : m_servers(servers + 1)
+    {
+        for (std::size_t i = 0; i <= senderCount; ++i) {
+            ServiceState &state = i == 0 ? m_leader.state : m_senders.emplace_back().state;
+            state.policy.retrySlack = 200;
+            state.isLeading = i == 0;
+            state.leadingSince = m_now - 1h;
+            setServers(state, makeServers(servers));
+        }
+    }
+
+    /// Adds requests at \a rate per second from \a begin to \a end.
+    void addLoad(double rate, TimePoint begin, TimePoint end)
+    {
+        std::exponential_distribution<double> gap(rate);
+        const auto next = [&] { return std::chrono::duration<double>(gap(m_random)); };
+        for (TimePoint at = begin; at < end; at += std::chrono::duration_cast<Duration>(next())) {
+            m_events.emplace(at, [this] { startCall(); });
+        }
+    }
+
+    void runUntil(TimePoint end)
+    {
+        probe();
+        while (m_events.begin()->first < end) {
+            const auto first = m_events.begin();
+            m_now = first->first;
+            const auto action = std::move(first->second);
+            m_events.erase(first);
+            action();
+        }
+    }
+
+    /// Returns the share of the calls started in a period that were answered within the objective.
+    [[nodiscard]] double shareInTime(TimePoint begin, TimePoint end) const
+    {
+        double calls = 0;
+        double inTime = 0;
+        for (const Call &call : m_calls) {
+            if (call.started < begin || call.started >= end)
+                continue;
+            ++calls;
+            inTime += call.answered && *call.answered - call.started <= objective ? 1 : 0;
+        }
+        return inTime / calls;
+    }
+
+    static constexpr TimePoint start{2h};
+
+private:
+    static constexpr std::size_t senderCount = 24;
+
+    using Handler = std::function<std::vector<Decision>()>;
+    struct Call
+    {
+        TimePoint started;
+        std::optional<TimePoint> answered;
+        bool isDecided = false;
+        bool isQueued = false;
+        bool isFallback = false;
+    };
+    struct Attempt
+    {
+        Decision decision;
+        TimePoint started;
+    };
+    struct Server
+    {
+        unsigned running = 0;
+        std::deque<Attempt> waiting;
+    };
+    /// The leader, or an instance that decides without it.
+    struct Decider
+    {
+        ServiceState state;
+        bool isPassScheduled = false;
+    };
+
+    void after(Duration delay, std::function<void()> action)
+    {
+        m_events.emplace(m_now + delay, std::move(action));
+    }
+
+    /// Handles a message on the leader after all earlier ones; its decisions leave the leader when
+    /// the time that they take is over.
+    void sendToLeader(Handler handler)
+    {
+        m_leaderInput.push_back(std::move(handler));
+        if (!m_isLeaderBusy)
+            runLeader();
+    }
+
+    void runLeader()
+    {
+        m_isLeaderBusy = !m_leaderInput.empty();
+        if (!m_isLeaderBusy)
+            return;
+        const Handler handler = std::move(m_leaderInput.front());
+        m_leaderInput.pop_front();
+        const std::uint64_t examined = m_leader.state.examinedEntries;
+        const std::vector<Decision> decisions = handler();
+        after(messageCost + entryCost * (m_leader.state.examinedEntries - examined),
+              [this, decisions] {
+                  for (const Decision &each : decisions)
+                      handleDecision(each, false);
+                  runLeader();
+              });
+    }
+
+    std::vector<Decision> processQueueOf(Decider &decider)
+    {
+        if (!decider.state.queue.empty() && !decider.isPassScheduled) {
+            decider.isPassScheduled = true;
+            after(passTimerInterval, [this, &decider] {
+                decider.isPassScheduled = false;
+                if (&decider == &m_leader)
+                    sendToLeader([this] { return processQueueOf(m_leader); });
+                else
+                    decideLocally(decider);
+            });
+        }
+        return isQueuePassDue(decider.state, m_now) ? processQueue(decider.state, m_now)
+                                                    : std::vector<Decision>();
+    }
+
+    void decideLocally(Decider &sender)
+    {
+        for (const Decision &each : processQueueOf(sender))
+            handleDecision(each, true);
+    }
+
+    /// The leader probes the servers whose load reports are old.
+    void probe()
+    {
+        for (const ServerKey key : takeDueProbes(m_leader.state, m_now)) {
+            sendToLeader([this, key] {
+                learnLoad(m_leader.state, key, loadOf(key), m_now);
+                return std::vector<Decision>();
+            });
+        }
+        after(probeTick, [this] { probe(); });
+    }
+
+    [[nodiscard]] LoadReport loadOf(ServerKey key) const
+    {
+        const Server &server = m_servers[key];
+        return {server.running, static_cast<unsigned>(server.waiting.size()), slotsPerServer,
+                isSlow(key) ? slowdownOfSlow : 1.0};
+    }
+
+    void startCall()
+    {
+        const std::size_t ticket = m_calls.size();
+        m_calls.push_back({m_now, {}});
+        const AttemptRequest request = makeRequest(ticket, m_now);
+        sendToLeader([this, request] {
+            const Decision decision = requestAttempt(m_leader.state, request, m_now);
+            if (decision.verdict != Verdict::Queued)
+                return std::vector<Decision>{decision};
+            m_calls[request.key.ticket].isQueued = true;
+            return processQueueOf(m_leader);
+        });
+        after(requestTimeout, [this, request] { fallBack(request); });
+    }
+
+    void fallBack(const AttemptRequest &request)
+    {
+        Call &call = m_calls[request.key.ticket];
+        if (call.isDecided || call.isQueued)
+            return;
+        call.isFallback = true;
+        release({request.key, 0, AttemptOutcome::Cancelled, std::nullopt, {}});
+        Decider &sender = senderOf(request.key.ticket);
+        const Decision decision = requestAttempt(sender.state, request, m_now);
+        if (decision.verdict == Verdict::Queued)
+            decideLocally(sender);
+        else
+            handleDecision(decision, true);
+    }
+
+    Decider &senderOf(std::size_t ticket) { return m_senders[ticket % m_senders.size()]; }
+
+    void release(const AttemptEnd &end)
+    {
+        sendToLeader([this, end] {
+            broker::release(m_leader.state, end, m_now);
+            return processQueueOf(m_leader);
+        });
+    }
+
+    void handleDecision(const Decision &decision, bool isFallback)
+    {
+        Call &call = m_calls[decision.key.ticket];
+        if (call.isFallback != isFallback)
+            return;
+        call.isDecided = true;
+        if (decision.verdict == Verdict::Granted)
+            startAttempt(decision);
+    }
+
+    void startAttempt(const Decision &decision)
+    {
+        Server &server = m_servers[decision.server];
+        server.waiting.push_back({decision, m_now});
+        if (server.running < slotsPerServer)
+            runNext(server);
+    }
+
+    void runNext(Server &server)
+    {
+        while (!server.waiting.empty()) {
+            const Attempt attempt = server.waiting.front();
+            server.waiting.pop_front();
+            const TimePoint deadline = m_calls[attempt.decision.key.ticket].started + routeTimeout;
+            if (m_now >= deadline) {
+                finishAttempt(attempt, AttemptOutcome::TimedOut);
+                continue;
+            }
+            ++server.running;
+            const double factor = loadOf(attempt.decision.server).slowdown
+                * (server.running >= slotsPerServer ? fullServerFactor : 1.0);
+            const auto duration = std::chrono::duration_cast<Duration>(workTime * factor);
+            const bool isTimedOut = m_now + duration > deadline;
+            after(std::min(duration, deadline - m_now), [this, &server, attempt, isTimedOut] {
+                finishAttempt(attempt,
+                              isTimedOut ? AttemptOutcome::TimedOut : AttemptOutcome::Answered);
+                --server.running;
+                runNext(server);
+            });
+            return;
+        }
+    }
+
+    /// Other programs slow down a quarter of the machines for 900 ms at a time.
+    [[nodiscard]] bool isSlow(ServerKey server) const
+    {
+        return (m_now.time_since_epoch() / 300ms + static_cast<std::int64_t>(server) * 7) % 12 < 3;
+    }
+
+    void finishAttempt(const Attempt &attempt, AttemptOutcome outcome)
+    {
+        const Decision &decision = attempt.decision;
+        AttemptEnd end{decision.key, decision.server, outcome, std::nullopt,
+                       m_now - attempt.started};
+        Call &call = m_calls[decision.key.ticket];
+        if (outcome == AttemptOutcome::Answered) {
+            call.answered = m_now;
+            end.load = loadOf(decision.server);
+        }
+        Decider &sender = senderOf(decision.key.ticket);
+        recordAttemptEnd(sender.state, end, m_now);
+        decideLocally(sender);
+        if (!call.isFallback)
+            release(end);
+    }
+
+    std::mt19937_64 m_random{20261204};
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    TimePoint m_now = start;
+    Decider m_leader;
+    std::deque<Decider> m_senders;
+    std::vector<Server> m_servers;
+    std::vector<Call> m_calls;
+    std::deque<Handler> m_leaderInput;
+    bool m_isLeaderBusy = false;
+};
+
+} // namespace
+
+class OverloadTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OverloadTest);
+    CPPUNIT_TEST(serviceRecoversAfterABurst);
+    CPPUNIT_TEST(costOfAPassIsNotQueueTimesServers);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a leader whose decisions cost more, the more requests are queued: a burst
+    // makes it late, senders then grant slots without it, and the servers stay overcommitted after
+    // the burst has ended.
+    void serviceRecoversAfterABurst()
+    {
+        constexpr double calmRatePerServer = 6;
+        constexpr double burstRatePerServer = 9;
+        constexpr Duration recovery = 15s;
+        for (const unsigned servers : {50U, 137U, 300U}) {
+            OverloadSimulation simulation(servers);
+            const TimePoint burst = OverloadSimulation::start + 6s;
+            const TimePoint burstEnd = burst + 4s;
+            const TimePoint recovered = burstEnd + recovery;
+            const TimePoint end = recovered + 5s;
+            simulation.addLoad(servers * calmRatePerServer, OverloadSimulation::start, burst);
+            simulation.addLoad(servers * burstRatePerServer, burst, burstEnd);
+            simulation.addLoad(servers * calmRatePerServer, burstEnd, end);
+            simulation.runUntil(end + routeTimeout);
+            const double before = simulation.shareInTime(burst - 4s, burst);
+            const double after = simulation.shareInTime(recovered, end);
+            CPPUNIT_ASSERT_GREATEREQUAL(0.95 * before, after);
+        }
+    }
+
+    // Guards against passes over the queue that look at every server for every queued request.
+    void costOfAPassIsNotQueueTimesServers()
+    {
+        for (const unsigned servers : {10U, 100U, 1000U}) {
+            const TimePoint now{1h};
+            ServiceState state;
+            state.isLeading = true;
+            setServers(state, makeServers(servers));
+            // Every second server is so slow that a request waits for one of the others.
+            state.routes[route] = {std::chrono::duration<double>(workTime).count(), 100};
+            for (ServerKey key = 1; key <= servers; ++key)
+                learnLoad(state, key, {0, 0, slotsPerServer, key % 2 == 0 ? 4.0 : 1.0}, now);
+            std::uint64_t ticket = 0;
+            while (state.queue.size() < servers)
+                requestAttempt(state, makeRequest(ticket++, now), now);
+            const std::uint64_t before = state.examinedEntries;
+            processQueue(state, now + 5ms);
+            constexpr std::uint64_t looksPerEntry = 20;
+            CPPUNIT_ASSERT_LESSEQUAL(looksPerEntry * 2 * servers, state.examinedEntries - before);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(OverloadTest, "known-red");
