Broker: Make the cost of a decision independent of queue times servers

Cause: each event passed over the queue, and each queued request estimated all servers, up to two times. With 115 queued requests and 137 servers the leader spent 841 of 1,000 ms on decisions and answered slot requests after more than 40 ms; the senders then granted slots without it, servers got more than they have slots for, attempts took longer, and the queue stayed.

Change: a pass estimates each server once (ServerRanking) and then looks at the cheapest ones. An index tells where a request is, in place of a walk over the queue and all attempts. Passes are spaced in proportion to servers plus queue, so that their share of the processor is bounded at any size. A hedge is refused from known figures while requests are queued.

Ruled out: datagrams, 17 us each, less than a tenth of the leader's time.

--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -64,6 +64,14 @@
     auto operator<=>(const AttemptKey &) const = default;
 };
 
+struct AttemptKeyHash
+{
+    std::size_t operator()(const AttemptKey &key) const
+    {
+        return hash64({reinterpret_cast<const char *>(&key), sizeof(key)});
+    }
+};
+
 inline constexpr std::size_t maxExcludedServers = 3;
 
 /// Request for a slot of any backend server of the service, to send one attempt.
@@ -215,6 +223,17 @@
     std::array<Slice, slices> window{};
 };
 
+/// Slots and queue length of a service.
+struct ServiceLoad
+{
+    unsigned slots = 0;
+    unsigned taken = 0;
+    std::size_t waiting = 0;
+};
+
+/// Placement of a request that is queued.
+inline constexpr ServerKey queuedPlacement = 0;
+
 struct ServiceState
 {
     Policy policy;
@@ -226,6 +245,12 @@
     std::vector<double> occupancyFactors;
     std::unordered_map<std::uint64_t, CrashSuspect> crashSuspects;
     std::vector<AttemptRequest> queue;
+    /// The server of each attempt that occupies a slot, and queuedPlacement for each queued
+    /// request.
+    std::unordered_map<AttemptKey, ServerKey, AttemptKeyHash> placements;
+    /// The load when the servers were last looked at: at each decision while no request is queued,
+    /// otherwise at each pass over the queue.
+    ServiceLoad lastLoad;
     /// Time of the last pass over the queue.
     TimePoint lastQueuePass;
     RetryBudget budget;
@@ -259,8 +284,11 @@
 /// Records a probe without a usable answer.
 void recordProbeFailure(ServiceState &state, ServerKey server, TimePoint now);
 
-/// Returns true if processQueue() is due now. A long queue is processed once every few milliseconds
-/// instead of at every event, because its length and the number of events both grow with the load.
+/// Returns the shortest time between two passes over the queue: 0 if the service is small,
+/// otherwise in proportion to the number of servers and queued requests, because the number of
+/// events grows with both.
+Duration queuePassInterval(const ServiceState &state);
+/// Returns true if processQueue() is due now; see queuePassInterval().
 bool isQueuePassDue(const ServiceState &state, TimePoint now);
 
 /// Grants free slots to queued requests and refuses those that can no longer be served.
--- a/packages/broker/src/dispatch.cpp
+++ b/packages/broker/src/dispatch.cpp
@@ -2,10 +2,10 @@
 
 #include "crashes.h"
 #include "estimate.h"
+#include "serverranking.h"
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace apricotrock::broker {
 
@@ -16,16 +16,6 @@
 /// A queued request can meet its target while its expected duration times this factor ends before
 /// the target. Most attempts are answered within the margin.
 constexpr double targetMargin = 1.15;
-/// Weight of the failure share of a server in the cost of an attempt.
-constexpr double failureCostFactor = 4.0;
-/// Part of the work time that is added to the cost of a server in another availability zone, so
-/// that traffic crosses availability zones only if the server is faster by more than this.
-constexpr double crossZoneCost = 0.15;
-/// Total delay that an attempt causes to the other attempts on a full server, as a part of its own
-/// duration.
-constexpr double contentionCost = 0.2;
-/// A server with a higher failure share is used only if no other server has a free slot.
-constexpr double degradedFailureShare = 0.45;
 /// A request that would miss its target waits for a full server if the cost after the wait is
 /// below this part of the cost on the best free server.
 constexpr double maxWaitCostRatio = 0.9;
@@ -42,10 +32,12 @@
 /// Limit of queued requests per slot that can no longer meet their target. They are served when
 /// no other request is queued; more of them would only wait without being served.
 constexpr double maxLatePerSlot = 0.5;
-/// Up to this length the queue is processed at every event.
-constexpr std::size_t shortQueueLength = 32;
-/// Interval between passes over a longer queue; short in relation to the duration of a request.
-constexpr Duration longQueuePassInterval = milliseconds(4);
+/// A pass over the queue costs time for each server and each queued request. Up to this sum the
+/// queue is processed at every event.
+constexpr std::int64_t shortPassEntries = 64;
+/// Interval between longer passes for each entry, so that passes leave most of the processor time
+/// of a small instance to messages.
+constexpr Duration passIntervalPerEntry = std::chrono::microseconds(10);
 /// Limits of Retry-After. After a shorter pause the retry meets the same overload; a longer pause
 /// ends after the deadline of most requests.
 constexpr Duration minRetryAfter = milliseconds(50);
@@ -56,103 +48,6 @@
 /// Share of the retry slack for an instance that decides temporarily without being the leader.
 constexpr double followerSlackShare = 0.03;
 
-struct ServerChoice
-{
-    ServerState *server = nullptr;
-    double seconds = std::numeric_limits<double>::max();
-    double cost = std::numeric_limits<double>::max();
-};
-
-/// Caches attemptLimit() for the last number of slots, because most servers of a service have the
-/// same number.
-class AttemptLimits
-{
-public:
-    explicit AttemptLimits(const ServiceState &state) : m_state(state) { }
-
-    unsigned operator()(const ServerState &server)
-    {
-        if (server.info.slots != m_slots) {
-            m_slots = server.info.slots;
-            m_limit = attemptLimit(m_state, m_slots);
-        }
-        return m_limit;
-    }
-
-private:
-    const ServiceState &m_state;
-    unsigned m_slots = 0;
-    unsigned m_limit = 1;
-};
-
-bool isExcluded(const AttemptRequest &request, ServerKey key)
-{
-    return std::find(request.excluded.begin(), request.excluded.end(), key)
-        != request.excluded.end();
-}
-
-bool isAvailable(const ServerState &server, TimePoint now)
-{
-    return server.info.isUsable && now >= server.unreachableUntil;
-}
-
-/// Returns the cost of an attempt that starts on \a server while \a taken slots are in use: its
-/// expected duration, increased by the failure share and by the delay of other attempts.
-double attemptCost(const ServerState &server, double seconds, unsigned taken, TimePoint now)
-{
-    const double failures = failureShare(server, now);
-    double cost = seconds * (1 + failureCostFactor * failures);
-    if (failures > degradedFailureShare)
-        cost *= failureCostFactor;
-    cost += contentionCost * seconds * taken / std::max(1U, server.info.slots);
-    return cost;
-}
-
-ServerChoice chooseFreeServer(ServiceState &state, const AttemptRequest &request, TimePoint now)
-{
-    ServerChoice best;
-    AttemptLimits limits(state);
-    const double work = workSeconds(state, request.route, request.objective);
-    state.examinedEntries += state.servers.size();
-    for (auto &[key, server] : state.servers) {
-        if (!isAvailable(server, now) || isExcluded(request, key))
-            continue;
-        const unsigned taken = takenSlots(state, server, now);
-        if (taken >= limits(server))
-            continue;
-        const double seconds = work * durationFactor(state, server, taken, now);
-        double cost = attemptCost(server, seconds, taken, now);
-        if (server.info.zone != request.zone)
-            cost += crossZoneCost * work;
-        if (cost < best.cost)
-            best = {&server, seconds, cost};
-    }
-    return best;
-}
-
-/// Returns the lowest cost, including the wait, of an attempt on a server that is full now.
-double lowestCostAfterWait(ServiceState &state, const AttemptRequest &request, TimePoint now)
-{
-    double best = std::numeric_limits<double>::max();
-    AttemptLimits limits(state);
-    const double work = workSeconds(state, request.route, request.objective);
-    state.examinedEntries += state.servers.size();
-    for (auto &[key, server] : state.servers) {
-        if (!isAvailable(server, now) || isExcluded(request, key) || server.activeAttempts.empty())
-            continue;
-        const unsigned limit = limits(server);
-        if (takenSlots(state, server, now) < limit)
-            continue;
-        TimePoint earliestEnd = TimePoint::max();
-        for (const ActiveAttempt &each : server.activeAttempts)
-            earliestEnd = std::min(earliestEnd, each.expectedEnd);
-        const double wait = std::max(0.0, toSeconds(earliestEnd - now));
-        const double seconds = work * durationFactor(state, server, limit - 1, now);
-        best = std::min(best, wait + attemptCost(server, seconds, limit - 1, now));
-    }
-    return best;
-}
-
 Decision grant(ServiceState &state, const AttemptRequest &request, const ServerChoice &choice,
                TimePoint now)
 {
@@ -166,6 +61,7 @@
     attempt.factor = choice.seconds / workSeconds(state, request.route, request.objective);
     attempt.slowdown = server.report ? server.report->slowdown : 0;
     server.activeAttempts.push_back(attempt);
+    state.placements[request.key] = server.info.key;
     Decision decision;
     decision.key = request.key;
     decision.verdict = Verdict::Granted;
@@ -177,46 +73,6 @@
     return decision;
 }
 
-unsigned totalSlots(ServiceState &state)
-{
-    unsigned slots = 0;
-    state.examinedEntries += state.servers.size();
-    AttemptLimits limits(state);
-    for (const auto &[key, server] : state.servers) {
-        if (server.info.isUsable)
-            slots += limits(server);
-    }
-    return slots;
-}
-
-unsigned freeSlots(ServiceState &state, TimePoint now)
-{
-    unsigned slots = 0;
-    state.examinedEntries += state.servers.size();
-    AttemptLimits limits(state);
-    for (const auto &[key, server] : state.servers) {
-        const unsigned limit = limits(server);
-        const unsigned taken = takenSlots(state, server, now);
-        if (isAvailable(server, now) && taken < limit)
-            slots += limit - taken;
-    }
-    return slots;
-}
-
-/// Slots and queue length of a service.
-struct ServiceLoad
-{
-    unsigned slots = 0;
-    unsigned taken = 0;
-    std::size_t waiting = 0;
-};
-
-ServiceLoad currentLoad(ServiceState &state, TimePoint now)
-{
-    const unsigned slots = totalSlots(state);
-    return {slots, slots - freeSlots(state, now), state.queue.size()};
-}
-
 Decision refuse(const AttemptRequest &request, RefusalReason reason, Duration retryAfter,
                 const ServiceLoad &load)
 {
@@ -304,19 +160,23 @@
     state.queue = std::move(sorted);
 }
 
-std::optional<Decision> tryGrant(ServiceState &state, const AttemptRequest &request, TimePoint now)
+std::optional<Decision> tryGrant(ServiceState &state, ServerRanking &ranking,
+                                 const AttemptRequest &request, TimePoint now)
 {
-    const ServerChoice choice = chooseFreeServer(state, request, now);
-    if (!choice.server)
+    const double work = workSeconds(state, request.route, request.objective);
+    const auto choice = ranking.cheapestFree(request, work);
+    if (!choice)
         return std::nullopt;
-    if (now + toDuration(choice.seconds) > request.target) {
-        const double costAfterWait = lowestCostAfterWait(state, request, now);
+    if (now + toDuration(choice->seconds) > request.target) {
+        const double costAfterWait = ranking.lowestCostAfterWait(request, work);
         const bool wouldMeetTarget = now + toDuration(costAfterWait) < request.target;
         if (costAfterWait
-            < (wouldMeetTarget ? maxWaitCostRatio : lateMaxWaitCostRatio) * choice.cost)
+            < (wouldMeetTarget ? maxWaitCostRatio : lateMaxWaitCostRatio) * choice->cost)
             return std::nullopt;
     }
-    return grant(state, request, choice, now);
+    const Decision decision = grant(state, request, *choice, now);
+    ranking.addAttempt(*choice->server);
+    return decision;
 }
 
 bool canMeetDeadline(const ServiceState &state, const AttemptRequest &request, TimePoint now)
@@ -329,8 +189,12 @@
 {
     state.examinedEntries += state.servers.size();
     for (auto &[key, server] : state.servers) {
-        std::erase_if(server.activeAttempts,
-                      [now](const ActiveAttempt &each) { return each.expires <= now; });
+        std::erase_if(server.activeAttempts, [&state, now](const ActiveAttempt &each) {
+            const bool isExpired = each.expires <= now;
+            if (isExpired)
+                state.placements.erase(each.key);
+            return isExpired;
+        });
     }
 }
 
@@ -343,44 +207,48 @@
 
 Decision requestHedge(ServiceState &state, const AttemptRequest &request, TimePoint now)
 {
-    const ServerChoice choice = chooseFreeServer(state, request, now);
-    const ServiceLoad load = currentLoad(state, now);
-    const bool hasRoom = load.slots - load.taken > minFreeShareForHedge * load.slots;
-    const bool canAnswerInTime =
-        choice.server && now + toDuration(choice.seconds) < request.deadline;
-    if (!hasRoom || !canAnswerInTime)
-        return refuse(request, RefusalReason::HedgeNotUseful, {}, load);
+    const auto hasRoom = [](const ServiceLoad &load) {
+        return load.slots - load.taken > minFreeShareForHedge * load.slots;
+    };
+    // Under load, when hedges are requested most often, this avoids a look at the servers.
+    ServiceLoad known = state.lastLoad;
+    known.taken =
+        std::min(known.slots, static_cast<unsigned>(state.placements.size() - state.queue.size()));
+    if (!state.queue.empty() && !hasRoom(known))
+        return refuse(request, RefusalReason::HedgeNotUseful, {}, known);
+    ServerRanking ranking(state, now);
+    const auto choice =
+        ranking.cheapestFree(request, workSeconds(state, request.route, request.objective));
+    const bool canAnswerInTime = choice && now + toDuration(choice->seconds) < request.deadline;
+    if (!hasRoom(ranking.load()) || !canAnswerInTime)
+        return refuse(request, RefusalReason::HedgeNotUseful, {}, ranking.load());
     if (!tryConsumeRetry(state.budget, state.policy, slackShare(state, now), now))
-        return refuse(request, RefusalReason::RetryBudget, {}, load);
-    return grant(state, request, choice, now);
+        return refuse(request, RefusalReason::RetryBudget, {}, ranking.load());
+    return grant(state, request, *choice, now);
 }
 
 /// Returns the current decision of a request that was received before, so that a repeated message
 /// takes no second slot.
-std::optional<Decision> findExistingDecision(ServiceState &state, const AttemptRequest &request,
-                                             TimePoint now)
+std::optional<Decision> findExistingDecision(const ServiceState &state,
+                                             const AttemptRequest &request, TimePoint now)
 {
-    state.examinedEntries += state.queue.size() + state.servers.size();
-    for (const AttemptRequest &each : state.queue) {
-        if (each.key != request.key)
-            continue;
-        Decision decision;
-        decision.key = request.key;
+    const auto placement = state.placements.find(request.key);
+    if (placement == state.placements.end())
+        return std::nullopt;
+    Decision decision;
+    decision.key = request.key;
+    if (placement->second == queuedPlacement)
         return decision;
-    }
-    for (const auto &[key, server] : state.servers) {
-        for (const ActiveAttempt &each : server.activeAttempts) {
-            if (each.key != request.key)
-                continue;
-            Decision decision;
-            decision.key = request.key;
-            decision.verdict = Verdict::Granted;
-            decision.server = key;
+    const auto server = state.servers.find(placement->second);
+    if (server == state.servers.end())
+        return std::nullopt;
+    decision.verdict = Verdict::Granted;
+    decision.server = server->first;
+    for (const ActiveAttempt &each : server->second.activeAttempts) {
+        if (each.key == request.key)
             decision.expected = each.expectedEnd - now;
-            return decision;
-        }
     }
-    return std::nullopt;
+    return decision;
 }
 
 } // namespace
@@ -390,39 +258,49 @@
     if (const auto existing = findExistingDecision(state, request, now))
         return *existing;
     if (isQuarantined(state, request.fingerprint, now))
-        return refuse(request, RefusalReason::Quarantined, maxRetryAfter, currentLoad(state, now));
+        return refuse(request, RefusalReason::Quarantined, maxRetryAfter, state.lastLoad);
     if (request.isHedge)
         return requestHedge(state, request, now);
     if (request.earlierAttempts == 0)
         countRequest(state.budget, state.policy, now);
-    const unsigned slots = totalSlots(state);
+    // While requests are queued, the last pass over the queue tells the load.
+    std::optional<ServerRanking> ranking;
+    if (state.queue.empty()) {
+        removeExpiredAttempts(state, now);
+        ranking.emplace(state, now);
+    }
+    const unsigned slots = state.lastLoad.slots;
+    ServiceLoad load = state.lastLoad;
+    load.waiting = state.queue.size();
     if (slots == 0)
-        return refuse(request, RefusalReason::NoServer, maxRetryAfter, currentLoad(state, now));
+        return refuse(request, RefusalReason::NoServer, maxRetryAfter, load);
     if (!canMeetDeadline(state, request, now))
-        return refuse(request, RefusalReason::DeadlineUnmeetable, minRetryAfter,
-                      currentLoad(state, now));
+        return refuse(request, RefusalReason::DeadlineUnmeetable, minRetryAfter, load);
     if (request.earlierAttempts > 0
         && !tryConsumeRetry(state.budget, state.policy, slackShare(state, now), now))
-        return refuse(request, RefusalReason::RetryBudget, queueDrainTime(state, slots),
-                      currentLoad(state, now));
-    removeExpiredAttempts(state, now);
-    if (state.queue.empty()) {
-        if (const auto decision = tryGrant(state, request, now))
+        return refuse(request, RefusalReason::RetryBudget, queueDrainTime(state, slots), load);
+    if (ranking) {
+        if (const auto decision = tryGrant(state, *ranking, request, now))
             return *decision;
     }
     if (state.queue.size() >= maxQueuedPerSlot * slots)
-        return refuse(request, RefusalReason::QueueFull, queueDrainTime(state, slots),
-                      currentLoad(state, now));
+        return refuse(request, RefusalReason::QueueFull, queueDrainTime(state, slots), load);
     state.queue.push_back(request);
+    state.placements[request.key] = queuedPlacement;
     Decision decision;
     decision.key = request.key;
     return decision;
 }
 
+Duration queuePassInterval(const ServiceState &state)
+{
+    const auto entries = static_cast<std::int64_t>(state.servers.size() + state.queue.size());
+    return entries <= shortPassEntries ? Duration(0) : Duration(passIntervalPerEntry * entries);
+}
+
 bool isQueuePassDue(const ServiceState &state, TimePoint now)
 {
-    return state.queue.size() <= shortQueueLength
-        || now - state.lastQueuePass >= longQueuePassInterval;
+    return now - state.lastQueuePass >= queuePassInterval(state);
 }
 
 std::vector<Decision> processQueue(ServiceState &state, TimePoint now)
@@ -435,27 +313,31 @@
     sortQueue(state, now);
     std::vector<AttemptRequest> waiting;
     std::size_t late = 0;
-    ServiceLoad load = currentLoad(state, now);
+    ServerRanking ranking(state, now);
+    const ServiceLoad &load = ranking.load();
     const std::size_t maxLate = lateLimit(load.slots);
     const FullLoadWork fullLoadWork(state);
     const Duration timeToDrain = queueDrainTime(state, load.slots);
+    const auto refuseQueued = [&](const AttemptRequest &request, RefusalReason reason,
+                                  Duration retryAfter) {
+        state.placements.erase(request.key);
+        decisions.push_back(refuse(request, reason, retryAfter, load));
+    };
     for (const AttemptRequest &each : state.queue) {
+        ++state.examinedEntries;
         if (!canMeetDeadline(state, each, now)) {
-            decisions.push_back(
-                refuse(each, RefusalReason::DeadlineUnmeetable, timeToDrain / 2, load));
+            refuseQueued(each, RefusalReason::DeadlineUnmeetable, timeToDrain / 2);
             continue;
         }
         std::optional<Decision> decision;
         if (load.taken < load.slots)
-            decision = tryGrant(state, each, now);
-        if (decision) {
-            ++load.taken;
+            decision = tryGrant(state, ranking, each, now);
+        if (decision)
             decisions.push_back(*decision);
-        } else if (!fullLoadWork.canMeetTarget(each, now) && ++late > maxLate) {
-            decisions.push_back(refuse(each, RefusalReason::QueueFull, timeToDrain, load));
-        } else {
+        else if (!fullLoadWork.canMeetTarget(each, now) && ++late > maxLate)
+            refuseQueued(each, RefusalReason::QueueFull, timeToDrain);
+        else
             waiting.push_back(each);
-        }
     }
     state.queue = std::move(waiting);
     return decisions;
--- a/packages/broker/src/service.cpp
+++ b/packages/broker/src/service.cpp
@@ -27,7 +27,8 @@
     ++server.connectFailures;
 }
 
-std::optional<ActiveAttempt> removeAttempt(ServerState &server, const AttemptKey &key)
+std::optional<ActiveAttempt> removeAttempt(ServiceState &state, ServerState &server,
+                                           const AttemptKey &key)
 {
     const auto found = std::find_if(server.activeAttempts.begin(), server.activeAttempts.end(),
                                     [&key](const ActiveAttempt &each) { return each.key == key; });
@@ -35,6 +36,7 @@
         return std::nullopt;
     const ActiveAttempt attempt = *found;
     server.activeAttempts.erase(found);
+    state.placements.erase(key);
     return attempt;
 }
 
@@ -51,14 +53,29 @@
         server.info = info;
         next.emplace(info.key, std::move(server));
     }
+    for (const auto &[key, server] : state.servers) {
+        if (next.contains(key))
+            continue;
+        for (const ActiveAttempt &each : server.activeAttempts)
+            state.placements.erase(each.key);
+    }
     state.servers = std::move(next);
+    const bool hasUsableServer =
+        std::any_of(state.servers.begin(), state.servers.end(),
+                    [](const auto &each) { return each.second.info.isUsable; });
+    if (!hasUsableServer)
+        state.lastLoad = {};
 }
 
 bool withdraw(ServiceState &state, const AttemptKey &key)
 {
-    return std::erase_if(state.queue,
-                         [&key](const AttemptRequest &each) { return each.key == key; })
-        > 0;
+    const auto placement = state.placements.find(key);
+    if (placement == state.placements.end() || placement->second != queuedPlacement)
+        return false;
+    state.placements.erase(placement);
+    state.examinedEntries += state.queue.size();
+    std::erase_if(state.queue, [&key](const AttemptRequest &each) { return each.key == key; });
+    return true;
 }
 
 void learnLoad(ServiceState &state, ServerKey key, const LoadReport &report, TimePoint now)
@@ -86,7 +103,7 @@
     if (found == state.servers.end())
         return;
     ServerState &server = found->second;
-    const std::optional<ActiveAttempt> attempt = removeAttempt(server, end.key);
+    const std::optional<ActiveAttempt> attempt = removeAttempt(state, server, end.key);
     if (end.load) {
         learnLoad(state, end.server, *end.load, now);
         updateUntrackedLoad(server, *end.load, now);
@@ -128,16 +145,18 @@
 
 void release(ServiceState &state, const AttemptEnd &end, TimePoint now)
 {
-    state.examinedEntries += state.queue.size();
     if (withdraw(state, end.key))
         return;
     if (end.server != 0) {
         recordAttemptEnd(state, end, now);
         return;
     }
-    state.examinedEntries += state.servers.size();
-    for (auto &[key, server] : state.servers)
-        removeAttempt(server, end.key);
+    const auto placement = state.placements.find(end.key);
+    if (placement == state.placements.end())
+        return;
+    const auto server = state.servers.find(placement->second);
+    if (server != state.servers.end())
+        removeAttempt(state, server->second, end.key);
 }
 
 Duration probeInterval(const ServiceState &state)
--- a/packages/broker/tests/overloadtest.cpp
+++ b/packages/broker/tests/overloadtest.cpp
@@ -380,4 +380,4 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(OverloadTest, "known-red");
+CPPUNIT_TEST_SUITE_REGISTRATION(OverloadTest);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -64,10 +64,12 @@
           tables(context, peers,
                  {[this] { serversChanged(); }, [this] { configurationChanged(); }}),
           callers(io, timers, [this](const auto &connection) { path.handle(connection); }),
-          metricsListener(io, timers, [this](const auto &connection) {
-              connection->respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                                  context.metrics.text(), true);
-          }),
+          metricsListener(io, timers,
+                          [this](const auto &connection) {
+                              connection->respond(200,
+                                                  {{"Content-Type", "text/plain; version=0.0.4"}},
+                                                  context.metrics.text(), true);
+                          }),
           loopDelay(context.metrics.histogram("apricotrock_event_loop_delay_seconds",
                                               "Delay of a periodic timer of the event loop."))
     { }
--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -126,10 +126,9 @@
     {
         const Duration duration = Clock::now() - m_started;
         m_service.load.decisionTime += duration;
-        m_service.load.maxQueued =
-            std::max(m_service.load.maxQueued, m_service.state.queue.size());
-        m_allocator.m_decisionMicroseconds.add(static_cast<std::uint64_t>(
-            std::chrono::duration_cast<microseconds>(duration).count()));
+        m_service.load.maxQueued = std::max(m_service.load.maxQueued, m_service.state.queue.size());
+        m_allocator.m_decisionMicroseconds.add(
+            static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(duration).count()));
         m_allocator.m_examinedEntries.add(m_service.state.examinedEntries - m_examined);
     }
     DecisionTimer(const DecisionTimer &) = delete;
@@ -156,9 +155,9 @@
                     .number("releases", load.releases)
                     .number("waiting", static_cast<std::int64_t>(load.maxQueued))
                     .number("servers", static_cast<std::int64_t>(each.state.servers.size()))
-                    .number("examined",
-                            static_cast<std::int64_t>(each.state.examinedEntries
-                                                      - load.examinedBefore))
+                    .number(
+                        "examined",
+                        static_cast<std::int64_t>(each.state.examinedEntries - load.examinedBefore))
                     .milliseconds("decisions", load.decisionTime)
                     .number("datagrams", static_cast<std::int64_t>(datagrams))
                     .milliseconds("datagram_handling", handlingTime)
