Broker: Keep the work estimate of a route from drifting

What callers saw: after a burst, requests of a service wait for few servers while slots of others are free.

Cause: an attempt shows only the product of the work of its route and the bias of its server. Work was estimated from durations divided by the bias, the bias from durations divided by the work, and nothing held either of them: in a burst the work fell and the bias of all servers that had attempts rose. Servers whose bias had faded then looked faster or slower than they are.

Change: the work is estimated such that the mean bias over attempts stays near 1.

--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -243,6 +243,10 @@
     /// including the measured one; 0 if not learned yet. Learned for the number of slots that most
     /// servers of the service have.
     std::vector<double> occupancyFactors;
+    /// Moving average of the bias of servers over attempts. The work of a route is estimated such
+    /// that it stays near 1; otherwise work and bias could drift apart without limit, because the
+    /// attempts show their product only.
+    double meanBias = 1.0;
     std::unordered_map<std::uint64_t, CrashSuspect> crashSuspects;
     std::vector<AttemptRequest> queue;
     /// The server of each attempt that occupies a slot, and queuedPlacement for each queued
--- a/packages/broker/src/estimate.cpp
+++ b/packages/broker/src/estimate.cpp
@@ -30,6 +30,7 @@
 constexpr double initialWorkSmoothing = 0.3;
 constexpr unsigned initialSamples = 10;
 constexpr double biasSmoothing = 0.25;
+constexpr double meanBiasSmoothing = 0.02;
 constexpr double minBias = 0.6;
 constexpr double maxBias = 20.0;
 /// Time in which the distance of the bias from 1 halves without new samples.
@@ -189,6 +190,8 @@
         && attempt.slowdown < end.load->slowdown * steadySlowdownRatio
         && now >= server.info.slowStartUntil;
     const unsigned slots = server.info.slots;
+    const double bias = currentBias(server, now);
+    state.meanBias += meanBiasSmoothing * (bias - state.meanBias);
     if (route.samples < initialSamples || !end.load) {
         updateWorkEstimate(route, sample);
     } else if (isSteady) {
@@ -197,11 +200,10 @@
         if (running > nearlyFullShare * slots && slots > 1)
             updateOccupancyFactor(state, running, slots, work / route.workSeconds);
         else
-            updateWorkEstimate(route, work / currentBias(server, now));
+            updateWorkEstimate(route, work * state.meanBias / bias);
     }
     if (route.samples < initialSamples)
         return;
-    const double bias = currentBias(server, now);
     const double ratio = std::clamp(sample / route.workSeconds * bias, minBias, maxBias);
     server.bias = bias + biasSmoothing * (ratio - bias);
     server.biasUpdated = now;
--- a/packages/broker/tests/overloadtest.cpp
+++ b/packages/broker/tests/overloadtest.cpp
@@ -22,6 +22,9 @@
 constexpr Duration workTime = 280ms;
 constexpr Duration passTimerInterval = 5ms;
 constexpr Duration probeTick = 25ms;
+/// Requests per second and server; the burst is more than the servers can do in time.
+constexpr double calmRatePerServer = 6;
+constexpr double burstRatePerServer = 9;
 constexpr double slowdownOfSlow = 4.0;
 /// Factor by which a request takes longer on a server without a free slot.
 constexpr double fullServerFactor = 1.7;
@@ -103,6 +106,12 @@
         return inTime / calls;
     }
 
+    /// Returns the work of the route as the leader estimates it.
+    [[nodiscard]] double estimatedWork() const
+    {
+        return m_leader.state.routes.at(route).workSeconds;
+    }
+
     static constexpr TimePoint start{2h};
 
 private:
@@ -329,6 +338,7 @@
 {
     CPPUNIT_TEST_SUITE(OverloadTest);
     CPPUNIT_TEST(serviceRecoversAfterABurst);
+    CPPUNIT_TEST(workEstimateDoesNotDriftInABurst);
     CPPUNIT_TEST(costOfAPassIsNotQueueTimesServers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -338,8 +348,6 @@
     // the burst has ended.
     void serviceRecoversAfterABurst()
     {
-        constexpr double calmRatePerServer = 6;
-        constexpr double burstRatePerServer = 9;
         constexpr Duration recovery = 15s;
         for (const unsigned servers : {50U, 137U, 300U}) {
             OverloadSimulation simulation(servers);
@@ -357,6 +365,25 @@
         }
     }
 
+    // Guards against an estimate of the work that falls while the bias of all servers makes up for
+    // it. The servers that are still taken for normal then look slow, and requests wait for others.
+    void workEstimateDoesNotDriftInABurst()
+    {
+        constexpr unsigned servers = 137;
+        constexpr double maxDrift = 1.3;
+        const double work = std::chrono::duration<double>(workTime).count();
+        for (int length = 1; length <= 4; ++length) {
+            OverloadSimulation simulation(servers);
+            const TimePoint burst = OverloadSimulation::start + 3s;
+            const TimePoint end = burst + length * 1s;
+            simulation.addLoad(servers * calmRatePerServer, OverloadSimulation::start, burst);
+            simulation.addLoad(servers * burstRatePerServer, burst, end);
+            simulation.runUntil(end);
+            CPPUNIT_ASSERT_GREATEREQUAL(work / maxDrift, simulation.estimatedWork());
+            CPPUNIT_ASSERT_LESSEQUAL(work * maxDrift, simulation.estimatedWork());
+        }
+    }
+
     // Guards against passes over the queue that look at every server for every queued request.
     void costOfAPassIsNotQueueTimesServers()
     {
