Broker: Request a refused hedge less and less often

Cause: a call whose hedge was refused requested it again every 40 ms until its deadline.

Change: the pause doubles with each refusal, from 40 ms. A call with a deadline of 2.5 s requests a hedge 7 times at most instead of 62 times (test refusedHedgesAreRequestedLessAndLessOften).

--- a/packages/broker/src/retrybudget.cpp
+++ b/packages/broker/src/retrybudget.cpp
@@ -1,5 +1,7 @@
 #include "apricotrock/broker.h"
 
+#include <algorithm>
+
 namespace apricotrock::broker {
 
 namespace {
@@ -7,6 +9,10 @@
 /// Share of the retry budget that is used. The rest is a reserve for attempts in flight.
 constexpr double usedBudgetShare = 0.85;
 
+/// Pause after the first refusal of a hedge; each further refusal doubles it.
+constexpr Duration initialHedgeRetryDelay = std::chrono::milliseconds(40);
+constexpr unsigned maxHedgeRetryDoublings = 6;
+
 RetryBudget::Slice &currentSlice(RetryBudget &budget, const Policy &policy, TimePoint now)
 {
     const auto length = policy.retryWindow / RetryBudget::slices;
@@ -44,4 +50,10 @@
     return true;
 }
 
+Duration hedgeRetryDelay(unsigned refusals)
+{
+    const unsigned doublings = std::min(std::max(refusals, 1U) - 1, maxHedgeRetryDoublings);
+    return initialHedgeRetryDelay * (1U << doublings);
+}
+
 } // namespace apricotrock::broker
--- a/packages/broker/tests/brokertest.cpp
+++ b/packages/broker/tests/brokertest.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST(unreachableServerGetsNoAttempts);
     CPPUNIT_TEST(failingServerIsAvoided);
     CPPUNIT_TEST(hedgeNeedsFreeSlots);
+    CPPUNIT_TEST(refusedHedgesAreRequestedLessAndLessOften);
     CPPUNIT_TEST(retriesStayWithinTheBudget);
     CPPUNIT_TEST(repeatedRequestGetsTheSameSlot);
     CPPUNIT_TEST(slotIsFreedAfterTheDeadlineWithoutAnEnd);
@@ -366,6 +367,18 @@
                        == Verdict::Refused);
     }
 
+    // Guards against calls that request a hedge at a fixed rate until their deadline: in an
+    // overload, when attempts take longest, their requests then outnumber those of new calls.
+    void refusedHedgesAreRequestedLessAndLessOften()
+    {
+        unsigned requests = 0;
+        for (Duration waited = 0ms; waited < 2500ms; waited += hedgeRetryDelay(requests))
+            ++requests;
+        CPPUNIT_ASSERT_LESSEQUAL(7U, requests);
+        CPPUNIT_ASSERT(hedgeRetryDelay(1) <= 50ms);
+        CPPUNIT_ASSERT(hedgeRetryDelay(1000) < 5s);
+    }
+
     // Guards against more retries in any window than the budget allows for all instances together.
     void retriesStayWithinTheBudget()
     {
--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -14,8 +14,6 @@
 /// An idempotent request is hedged after this multiple of its expected duration.
 constexpr double hedgeFactor = 1.6;
 constexpr Duration minHedgeDelay = milliseconds(25);
-/// Delay before a refused hedge is requested again.
-constexpr Duration hedgeRetryDelay = milliseconds(40);
 /// Connection attempts that take longer than this count as failed.
 constexpr Duration connectTimeout = milliseconds(250);
 /// Idempotent requests reuse connections that have been idle for less than this.
@@ -179,7 +177,7 @@
         return;
     if (isHedge) {
         m_path.countHedgeRefusal(broker::reasonName(slot.reason));
-        scheduleHedge(hedgeRetryDelay);
+        scheduleHedge(broker::hedgeRetryDelay(++m_hedgeRefusals));
         return;
     }
     logEvent(EventLog::Level::Warning, "slot_refused", [&](LogLine &line) {
--- a/packages/gateway/src/call.h
+++ b/packages/gateway/src/call.h
@@ -94,6 +94,7 @@
     /// Attempts that may have run the request.
     unsigned m_attemptsSent = 0;
     unsigned m_slotRequests = 0;
+    unsigned m_hedgeRefusals = 0;
     bool m_mayHaveRun = false;
     bool m_isFinished = false;
     /// Error response of a backend server, sent to the caller if no later attempt succeeds.
