--- a/packages/broker/src/dispatch.cpp
+++ b/packages/broker/src/dispatch.cpp
@@ -168,14 +168,11 @@
     if (!choice)
         return std::nullopt;
     if (now + toDuration(choice->seconds) > request.target) {
-        const auto afterWait = ranking.cheapestAfterWait(request, work);
-        const bool wouldMeetTarget =
-            afterWait && now + toDuration(afterWait->cost) < request.target;
-        const double maxRatio = wouldMeetTarget ? maxWaitCostRatio : lateMaxWaitCostRatio;
-        if (afterWait && afterWait->cost < maxRatio * choice->cost) {
-            ranking.reserveNextSlot();
+        const double costAfterWait = ranking.lowestCostAfterWait(request, work);
+        const bool wouldMeetTarget = now + toDuration(costAfterWait) < request.target;
+        if (costAfterWait
+            < (wouldMeetTarget ? maxWaitCostRatio : lateMaxWaitCostRatio) * choice->cost)
             return std::nullopt;
-        }
     }
     const Decision decision = grant(state, request, *choice, now);
     ranking.addAttempt(*choice->server);
--- a/packages/broker/src/serverranking.cpp
+++ b/packages/broker/src/serverranking.cpp
@@ -3,6 +3,7 @@
 #include "estimate.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace apricotrock::broker {
 
@@ -34,13 +35,6 @@
     };
 }
 
-template <typename Entry>
-void push(std::vector<Entry> &heap, const Entry &entry, double work)
-{
-    heap.push_back(entry);
-    std::push_heap(heap.begin(), heap.end(), costlierFor<Entry>(work));
-}
-
 bool isAvailable(const ServerState &server, TimePoint now)
 {
     return server.info.isUsable && now >= server.unreachableUntil;
@@ -103,7 +97,9 @@
         server.info.slots == m_limitSlots ? m_limit : attemptLimit(m_state, server.info.slots);
     const unsigned taken = takenSlots(m_state, server, m_now);
     if (taken < limit) {
-        push(zone(server.info.zone).heap, estimate(server, taken), 1.0);
+        std::vector<Entry> &heap = zone(server.info.zone).heap;
+        heap.push_back(estimate(server, taken));
+        std::push_heap(heap.begin(), heap.end(), costlierFor<Entry>(1.0));
         return;
     }
     if (server.activeAttempts.empty())
@@ -113,14 +109,13 @@
         earliestEnd = std::min(earliestEnd, each.expectedEnd);
     Entry entry = estimate(server, limit - 1);
     entry.wait = std::max(0.0, toSeconds(earliestEnd - m_now));
+    m_full.push_back(entry);
     if (m_waitWork > 0)
-        push(m_full, entry, m_waitWork);
-    else
-        m_full.push_back(entry);
+        std::push_heap(m_full.begin(), m_full.end(), costlierFor<Entry>(m_waitWork));
 }
 
 std::optional<ServerRanking::Entry>
-ServerRanking::takeCheapest(std::vector<Entry> &heap, const AttemptRequest &request, double work)
+ServerRanking::cheapest(std::vector<Entry> &heap, const AttemptRequest &request, double work)
 {
     const auto isCostlier = costlierFor<Entry>(work);
     std::array<Entry, maxExcludedServers> skipped;
@@ -128,18 +123,21 @@
     std::optional<Entry> found;
     while (!heap.empty() && !found) {
         ++m_state.examinedEntries;
-        std::pop_heap(heap.begin(), heap.end(), isCostlier);
-        const Entry top = heap.back();
-        heap.pop_back();
-        if (top.attempts != top.server->activeAttempts.size())
+        const Entry &top = heap.front();
+        const bool isOutdated = top.attempts != top.server->activeAttempts.size();
+        if (!isOutdated && !isExcluded(request, top.server->info.key)) {
+            found = top;
             continue;
-        if (isExcluded(request, top.server->info.key))
+        }
+        if (!isOutdated)
             skipped[skippedCount++] = top;
-        else
-            found = top;
+        std::pop_heap(heap.begin(), heap.end(), isCostlier);
+        heap.pop_back();
+    }
+    for (std::size_t i = 0; i < skippedCount; ++i) {
+        heap.push_back(skipped[i]);
+        std::push_heap(heap.begin(), heap.end(), isCostlier);
     }
-    for (std::size_t i = 0; i < skippedCount; ++i)
-        push(heap, skipped[i], work);
     return found;
 }
 
@@ -147,10 +145,9 @@
 {
     std::optional<ServerChoice> best;
     for (Zone &each : m_zones) {
-        const auto entry = takeCheapest(each.heap, request, 1.0);
+        const auto entry = cheapest(each.heap, request, 1.0);
         if (!entry)
             continue;
-        push(each.heap, *entry, 1.0);
         const double distance = each.key == request.zone ? 0 : crossZoneCost;
         const double cost = work * (entry->relativeCost + distance);
         if (!best || cost < best->cost)
@@ -159,29 +156,15 @@
     return best;
 }
 
-std::optional<ServerChoice> ServerRanking::cheapestAfterWait(const AttemptRequest &request,
-                                                             double work)
+double ServerRanking::lowestCostAfterWait(const AttemptRequest &request, double work)
 {
     if (m_waitWork == 0) {
         m_waitWork = work;
         m_state.examinedEntries += m_full.size();
         std::make_heap(m_full.begin(), m_full.end(), costlierFor<Entry>(work));
     }
-    if (m_considered)
-        push(m_full, *m_considered, m_waitWork);
-    m_considered = takeCheapest(m_full, request, m_waitWork);
-    if (!m_considered)
-        return std::nullopt;
-    return ServerChoice{m_considered->server, work * m_considered->durationFactor,
-                        m_considered->wait + work * m_considered->relativeCost};
-}
-
-void ServerRanking::reserveNextSlot()
-{
-    // The slots of a server become free one after the other, evenly over the time of an attempt.
-    if (m_considered)
-        m_considered->wait += m_waitWork * m_considered->durationFactor
-            / static_cast<double>(std::max<std::size_t>(1, m_considered->attempts));
+    const auto entry = cheapest(m_full, request, m_waitWork);
+    return entry ? entry->wait + work * entry->relativeCost : std::numeric_limits<double>::max();
 }
 
 void ServerRanking::addAttempt(ServerState &server)
--- a/packages/broker/src/serverranking.h
+++ b/packages/broker/src/serverranking.h
@@ -28,11 +28,8 @@
     /// Returns the free server with the lowest cost. \a work is the expected work of the route in
     /// seconds.
     std::optional<ServerChoice> cheapestFree(const AttemptRequest &request, double work);
-    /// Returns the full server with the lowest cost, including the wait until a slot is free there.
-    std::optional<ServerChoice> cheapestAfterWait(const AttemptRequest &request, double work);
-    /// Reserves the next slot that becomes free on the server which cheapestAfterWait() returned
-    /// last, so that the following requests expect a longer wait for it.
-    void reserveNextSlot();
+    /// Returns the lowest cost, including the wait, of an attempt on a server that is full now.
+    double lowestCostAfterWait(const AttemptRequest &request, double work);
     /// Updates the order after a slot of \a server was granted.
     void addAttempt(ServerState &server);
 
@@ -46,7 +43,7 @@
         /// Expected duration and cost in relation to the work of the route.
         double durationFactor = 1;
         double relativeCost = 1;
-        /// Seconds until a slot of a full server is free that no queued request has reserved.
+        /// Seconds until an attempt ends on a full server.
         double wait = 0;
     };
     struct Zone
@@ -58,10 +55,9 @@
     Entry estimate(ServerState &server, unsigned taken) const;
     void insert(ServerState &server);
     Zone &zone(std::uint32_t key);
-    /// Removes and returns the entry with the lowest cost for \a work whose server \a request may
-    /// use.
-    std::optional<Entry> takeCheapest(std::vector<Entry> &heap, const AttemptRequest &request,
-                                      double work);
+    /// Returns the entry with the lowest cost for \a work whose server \a request may use.
+    std::optional<Entry> cheapest(std::vector<Entry> &heap, const AttemptRequest &request,
+                                  double work);
 
     ServiceState &m_state;
     TimePoint m_now;
@@ -72,8 +68,6 @@
     std::vector<Entry> m_full;
     /// Work for which the full servers are ordered; 0 before the first use.
     double m_waitWork = 0;
-    /// The full server that cheapestAfterWait() returned last; not in m_full.
-    std::optional<Entry> m_considered;
 };
 
 } // namespace apricotrock::broker
