Loop: Bound responses without end

Cause: a response could have 64 MB on instances of 160 MB, and only the limit of the parser bounded headers. Interim responses, and responses to other requests, could be repeated for as long as the server liked, since each of them started the limits anew.

Change: limits for everything received in answer to one request: 64 KB beside the bodies, and for the bodies an eighth of the memory for responses. All responses together, until their callers have them, use at most an eighth of the memory limit of the process. The deadline of the call bounds the time.

--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -314,8 +314,8 @@
 /// Counts a first attempt, which increases the retry budget.
 void countRequest(RetryBudget &budget, const Policy &policy, TimePoint now);
 
-/// Returns the pause before a hedge is requested again that was refused \a refusals times. It grows,
-/// so that requests for hedges do not grow with the duration of attempts.
+/// Returns the pause before a hedge is requested again that was refused \a refusals times. It
+/// grows, so that requests for hedges do not grow with the duration of attempts.
 Duration hedgeRetryDelay(unsigned refusals);
 
 std::string_view outcomeName(AttemptOutcome outcome);
--- a/packages/gateway/include/apricotrock/gateway.h
+++ b/packages/gateway/include/apricotrock/gateway.h
@@ -102,6 +102,8 @@
     /// Maximum time from the stop signal to the end of the process.
     Duration shutdownTimeout = std::chrono::seconds(6);
     broker::Policy policy;
+    /// Memory for responses of backend servers, from their first byte until the caller has them.
+    std::size_t responseMemoryBytes = std::size_t(32) * 1024 * 1024;
 };
 
 /// One entry instance.
--- a/packages/gateway/src/backendpool.cpp
+++ b/packages/gateway/src/backendpool.cpp
@@ -14,6 +14,9 @@
 constexpr Duration sweepInterval = seconds(1);
 /// Maximum number of idle connections to one backend server.
 constexpr std::size_t maxIdlePerServer = 8;
+/// One response may use this part of the memory for all of them, so that a few servers whose
+/// responses do not end leave room for those of the others.
+constexpr std::size_t responsesInMemory = 8;
 
 std::string poolKey(const fleet::ServerEntry &server)
 {
@@ -30,11 +33,17 @@
 } // namespace
 
 BackendPool::BackendPool(Context &context)
-    : m_context(context), m_opened(context.counter("backend_connections_opened_total",
-                                                   "Connections opened to backend servers.")),
+    : m_context(context),
+      m_responseBudget(std::make_shared<loop::ByteBudget>(context.settings.responseMemoryBytes)),
+      m_opened(context.counter("backend_connections_opened_total",
+                               "Connections opened to backend servers.")),
       m_reused(context.counter("backend_connections_reused_total",
                                "Requests sent on a connection that was open already."))
 {
+    m_responseLimits.maxBodyBytes = context.settings.responseMemoryBytes / responsesInMemory;
+    context.metrics.gauge("apricotrock_response_memory_bytes",
+                          "Memory used by responses of backend servers.", {},
+                          [budget = m_responseBudget] { return double(budget->used()); });
     m_context.timers.callEvery(sweepInterval, [this] { sweep(); });
 }
 
@@ -59,8 +68,8 @@
         break;
     }
     m_opened.add();
-    return std::make_shared<loop::HttpClientConnection>(m_context.io, m_context.timers,
-                                                        server.address);
+    return std::make_shared<loop::HttpClientConnection>(
+        m_context.io, m_context.timers, server.address, m_responseLimits, m_responseBudget);
 }
 
 void BackendPool::giveBack(const fleet::ServerEntry &server, const Connection &connection)
--- a/packages/gateway/src/backendpool.h
+++ b/packages/gateway/src/backendpool.h
@@ -28,6 +28,8 @@
 
     Context &m_context;
     std::unordered_map<std::string, Idle> m_idle;
+    loop::ResponseLimits m_responseLimits;
+    std::shared_ptr<loop::ByteBudget> m_responseBudget;
     metrics::Counter &m_opened;
     metrics::Counter &m_reused;
 };
--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -300,6 +300,8 @@
     const broker::AttemptOutcome outcome = classifyOutcome(result);
     const Attempt attempt = m_attempts[index];
     std::optional<broker::LoadReport> load;
+    if (result.status == loop::ClientStatus::InvalidResponse)
+        m_path.countInvalidResponse(result.detail);
     if (result.status == loop::ClientStatus::ResponseReceived) {
         const auto header =
             loop::findHeader(result.response.headers, m_path.m_context.adapter.headers.load);
@@ -463,6 +465,7 @@
     });
     m_path.countAnswer(response.status, "backend_answer");
     m_path.recordLatency(latency);
+    m_connection->holdLease(response.lease);
     m_connection->respond(response.status, headers, response.body, false);
     writeLog(isOrdinary);
     close();
--- a/packages/gateway/src/requestpath.cpp
+++ b/packages/gateway/src/requestpath.cpp
@@ -55,6 +55,15 @@
         .add();
 }
 
+void RequestPath::countInvalidResponse(std::string_view reason)
+{
+    m_context
+        .counter("invalid_responses_total",
+                 "Responses of backend servers that were malformed or exceeded a limit, by reason.",
+                 {{"reason", std::string(reason)}})
+        .add();
+}
+
 void RequestPath::recordLatency(Duration latency)
 {
     m_context.metrics
--- a/packages/gateway/src/requestpath.h
+++ b/packages/gateway/src/requestpath.h
@@ -34,6 +34,7 @@
                 std::string_view reason, std::string_view text);
     void countAnswer(int status, std::string_view reason);
     void countHedgeRefusal(std::string_view reason);
+    void countInvalidResponse(std::string_view reason);
     void recordLatency(Duration latency);
 
     Context &m_context;
--- a/packages/loop/include/apricotrock/loop.h
+++ b/packages/loop/include/apricotrock/loop.h
@@ -134,6 +134,37 @@
     [[nodiscard]] std::optional<std::string_view> query(std::string_view name) const;
 };
 
+/// Limits the memory that several connections use together for received responses.
+class ByteBudget
+{
+public:
+    explicit ByteBudget(std::size_t limit) : m_limit(limit) { }
+    [[nodiscard]] std::size_t used() const { return m_used; }
+
+private:
+    friend class ByteLease;
+
+    std::size_t m_limit;
+    std::size_t m_used = 0;
+};
+
+/// Part of a budget; it is returned when the lease is destroyed.
+class ByteLease
+{
+public:
+    explicit ByteLease(std::shared_ptr<ByteBudget> budget) : m_budget(std::move(budget)) { }
+    ~ByteLease();
+    ByteLease(const ByteLease &) = delete;
+    ByteLease &operator=(const ByteLease &) = delete;
+
+    /// Returns false, and changes nothing, if the budget is exhausted.
+    bool resize(std::size_t bytes);
+
+private:
+    std::shared_ptr<ByteBudget> m_budget;
+    std::size_t m_bytes = 0;
+};
+
 struct HttpResponse
 {
     int status = 0;
@@ -141,6 +172,18 @@
     Headers headers;
     std::string body;
     bool keepAlive = true;
+    /// Memory of the response, if its connection has a budget.
+    std::shared_ptr<ByteLease> lease;
+};
+
+/// Limits of what is received in answer to one request.
+struct ResponseLimits
+{
+    /// Everything but bodies: headers, interim responses, trailers. Chunks may add a fixed number
+    /// of bytes for each byte of the body.
+    std::size_t maxHeaderBytes = std::size_t(64) * 1024;
+    /// Bodies, including those of late responses to earlier requests.
+    std::size_t maxBodyBytes = std::size_t(8) * 1024 * 1024;
 };
 
 struct ServerLimits
@@ -170,6 +213,8 @@
     /// Responds to the current request. \a contentHeaders are sent as given; the Content-Length and
     /// Connection headers are added.
     void respond(int status, const Headers &contentHeaders, std::string_view body, bool close);
+    /// Keeps \a lease until the response is written or the connection is closed.
+    void holdLease(std::shared_ptr<ByteLease> lease) { m_lease = std::move(lease); }
     /// Closes the connection without a response.
     void abort() { close(); }
     /// Calls \a callback if the connection is closed before the response is sent.
@@ -205,6 +250,7 @@
     std::string m_input;
     std::string m_output;
     std::array<char, 8192> m_buffer{};
+    std::shared_ptr<ByteLease> m_lease;
     std::function<void()> m_onCallerDisconnect;
     TimePoint m_requestReceivedAt;
     TimePoint m_timeoutStart;
@@ -276,7 +322,10 @@
     /// Returns whether a response belongs to the current request; other responses are discarded.
     using Filter = std::function<bool(const HttpResponse &)>;
 
-    HttpClientConnection(asio::io_context &context, LoopTimers &timers, const Endpoint &address);
+    /// \a budget may be null.
+    HttpClientConnection(asio::io_context &context, LoopTimers &timers, const Endpoint &address,
+                         const ResponseLimits &limits = {},
+                         std::shared_ptr<ByteBudget> budget = nullptr);
     /// Does not cancel timers, because they may already be destroyed when the process ends.
     ~HttpClientConnection();
     HttpClientConnection(const HttpClientConnection &) = delete;
@@ -305,6 +354,8 @@
     void handleRead(std::error_code error, std::size_t count);
     void parse(const char *data, std::size_t size);
     void parseReceived();
+    /// Returns why the received bytes exceed the limits, or an empty text.
+    [[nodiscard]] std::string_view exceededLimit();
     void handleResponse();
     void fail(ClientStatus status, std::string detail);
 
@@ -312,8 +363,15 @@
     LoopTimers &m_timers;
     Endpoint m_address;
     std::unique_ptr<Parser> m_parser;
+    ResponseLimits m_limits;
+    std::shared_ptr<ByteBudget> m_budget;
+    std::shared_ptr<ByteLease> m_lease;
     std::string m_output;
     std::string m_received;
+    /// Bytes parsed since the request was sent, and those of bodies of discarded responses among
+    /// them.
+    std::size_t m_parsedBytes = 0;
+    std::size_t m_discardedBodyBytes = 0;
     std::array<char, 8192> m_buffer{};
     Filter m_filter;
     Callback m_callback;
--- a/packages/loop/src/httpclientconnection.cpp
+++ b/packages/loop/src/httpclientconnection.cpp
@@ -12,8 +12,8 @@
 /// TCP_USER_TIMEOUT: a connection whose sent bytes stay unacknowledged for this time is closed, so
 /// that an unresponsive peer is detected.
 constexpr int tcpUserTimeoutMs = 1500;
-/// Maximum size of a response body.
-constexpr std::size_t maxResponseBytes = std::size_t(64) * 1024 * 1024;
+/// Bytes of framing allowed for each byte of a body; a chunk of one byte needs five.
+constexpr std::size_t framingPerBodyByte = 8;
 
 std::optional<Duration> readKeepAlive(const Headers &headers)
 {
@@ -32,16 +32,33 @@
 
 } // namespace
 
+ByteLease::~ByteLease()
+{
+    m_budget->m_used -= m_bytes;
+}
+
+bool ByteLease::resize(std::size_t bytes)
+{
+    const std::size_t others = m_budget->m_used - m_bytes;
+    if (others + bytes > m_budget->m_limit)
+        return false;
+    m_budget->m_used = others + bytes;
+    m_bytes = bytes;
+    return true;
+}
+
 struct HttpClientConnection::Parser : MessageParser
 {
     Parser() : MessageParser(HTTP_RESPONSE) { }
 };
 
 HttpClientConnection::HttpClientConnection(asio::io_context &context, LoopTimers &timers,
-                                           const Endpoint &address)
-    : m_socket(context), m_timers(timers), m_address(address), m_parser(std::make_unique<Parser>())
+                                           const Endpoint &address, const ResponseLimits &limits,
+                                           std::shared_ptr<ByteBudget> budget)
+    : m_socket(context), m_timers(timers), m_address(address), m_parser(std::make_unique<Parser>()),
+      m_limits(limits), m_budget(std::move(budget))
 {
-    m_parser->maxBodyBytes = maxResponseBytes;
+    m_parser->maxBodyBytes = limits.maxBodyBytes;
 }
 
 HttpClientConnection::~HttpClientConnection() = default;
@@ -55,6 +72,9 @@
     m_callback = std::move(callback);
     m_isReusable = false;
     m_isWritten = false;
+    m_parsedBytes = 0;
+    m_discardedBodyBytes = 0;
+    m_lease = m_budget ? std::make_shared<ByteLease>(m_budget) : nullptr;
     m_parser->reset();
     m_parser->isHead = isHead;
     if (m_isConnected) {
@@ -146,11 +166,16 @@
     while (!m_received.empty() && m_callback && !m_isClosed) {
         const std::size_t used = m_parser->feed(m_received.data(), m_received.size());
         m_received.erase(0, used);
+        m_parsedBytes += used;
         if (!m_parser->errorText.empty() || m_parser->isBodyTooLarge) {
             fail(ClientStatus::InvalidResponse,
                  m_parser->isBodyTooLarge ? "response body too large" : m_parser->errorText);
             return;
         }
+        if (const std::string_view limit = exceededLimit(); !limit.empty()) {
+            fail(ClientStatus::InvalidResponse, std::string(limit));
+            return;
+        }
         if (!m_parser->isComplete)
             return;
         if (m_parser->parser.status_code / 100 == 1) {
@@ -162,6 +187,19 @@
     }
 }
 
+std::string_view HttpClientConnection::exceededLimit()
+{
+    const std::size_t body = m_parser->body.size();
+    const std::size_t bodies = m_discardedBodyBytes + body;
+    if (bodies > m_limits.maxBodyBytes)
+        return "response body too large";
+    if (m_parsedBytes - bodies > m_limits.maxHeaderBytes + framingPerBodyByte * bodies)
+        return "response header or framing too large";
+    if (m_lease && !m_lease->resize(body + m_parser->headerBytes))
+        return "memory for responses exhausted";
+    return {};
+}
+
 void HttpClientConnection::handleResponse()
 {
     ClientResult result;
@@ -176,6 +214,7 @@
     m_parser->isHead = m_isHead;
     if (m_filter && !m_filter(response)) {
         // A late response to an earlier request; the response to this request may still follow.
+        m_discardedBodyBytes += response.body.size();
         if (!response.keepAlive)
             fail(ClientStatus::InvalidResponse, "response belongs to another request");
         return;
@@ -185,6 +224,7 @@
     m_isReusable = response.keepAlive && m_received.empty() && m_isWritten;
     m_serverIdleTimeout = readKeepAlive(response.headers);
     m_idleSince = Clock::now();
+    response.lease = std::move(m_lease);
     const Callback callback = std::exchange(m_callback, nullptr);
     m_filter = nullptr;
     const auto self = shared_from_this();
@@ -217,6 +257,7 @@
     m_callback = nullptr;
     m_filter = nullptr;
     m_onIdleClose = nullptr;
+    m_lease.reset();
     m_timers.cancel(m_connectTimer);
     std::error_code ignored;
     m_socket.close(ignored);
--- a/packages/loop/src/httpserverconnection.cpp
+++ b/packages/loop/src/httpserverconnection.cpp
@@ -167,6 +167,7 @@
 {
     m_output.clear();
     m_output.shrink_to_fit();
+    m_lease.reset();
     m_timeoutStart = Clock::now();
     if (m_closeAfterWrite) {
         startGracefulClose();
@@ -190,6 +191,7 @@
     if (m_isClosed)
         return;
     m_isClosed = true;
+    m_lease.reset();
     std::error_code ignored;
     m_socket.close(ignored);
     m_openConnections->erase(this);
