--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -145,19 +145,19 @@
 {
     const std::uint64_t datagrams = m_peers.takeReceived();
     const Duration handlingTime = m_peers.takeHandlingTime();
-    for (auto &[key, each] : m_services) {
-        LeaderLoad &load = each.load;
+    for (auto &[key, service] : m_services) {
+        const ServiceSlots &slots = service;
+        LeaderLoad &load = service.load;
         if (load.requests > 0) {
+            const auto examined = slots.state.examinedEntries - load.examinedBefore;
             m_context.log.write(EventLog::Level::Info, "leader_load", [&](LogLine &line) {
-                line.text("service", each.name)
-                    .text("holder", each.leader)
+                line.text("service", slots.name)
+                    .text("holder", slots.leader)
                     .number("requests", load.requests)
                     .number("releases", load.releases)
                     .number("waiting", static_cast<std::int64_t>(load.maxQueued))
-                    .number("servers", static_cast<std::int64_t>(each.state.servers.size()))
-                    .number(
-                        "examined",
-                        static_cast<std::int64_t>(each.state.examinedEntries - load.examinedBefore))
+                    .number("servers", static_cast<std::int64_t>(slots.state.servers.size()))
+                    .number("examined", static_cast<std::int64_t>(examined))
                     .milliseconds("decisions", load.decisionTime)
                     .number("datagrams", static_cast<std::int64_t>(datagrams))
                     .milliseconds("datagram_handling", handlingTime)
@@ -165,7 +165,7 @@
             });
         }
         load = {};
-        load.examinedBefore = each.state.examinedEntries;
+        load.examinedBefore = slots.state.examinedEntries;
     }
 }
 
