--- a/packages/broker/src/serverranking.cpp
+++ b/packages/broker/src/serverranking.cpp
@@ -48,17 +48,9 @@
     for (auto &[key, server] : state.servers) {
         if (!server.info.isUsable)
             continue;
-        // Most servers of a service have the same number of slots.
-        if (server.info.slots != m_limitSlots) {
-            m_limitSlots = server.info.slots;
-            m_limit = attemptLimit(state, m_limitSlots);
-        }
-        m_load.slots += m_limit;
-        if (!isAvailable(server, now))
-            continue;
-        const unsigned taken = takenSlots(state, server, now);
-        free += taken < m_limit ? m_limit - taken : 0;
-        insert(server);
+        m_load.slots += limitOf(server);
+        if (isAvailable(server, now))
+            free += insert(server);
     }
     state.examinedEntries += state.servers.size();
     m_load.taken = m_load.slots - free;
@@ -91,19 +83,28 @@
     return m_zones.back();
 }
 
-void ServerRanking::insert(ServerState &server)
+unsigned ServerRanking::limitOf(const ServerState &server)
+{
+    // Most servers of a service have the same number of slots.
+    if (server.info.slots != m_limitSlots) {
+        m_limitSlots = server.info.slots;
+        m_limit = attemptLimit(m_state, m_limitSlots);
+    }
+    return m_limit;
+}
+
+unsigned ServerRanking::insert(ServerState &server)
 {
-    const unsigned limit =
-        server.info.slots == m_limitSlots ? m_limit : attemptLimit(m_state, server.info.slots);
+    const unsigned limit = limitOf(server);
     const unsigned taken = takenSlots(m_state, server, m_now);
     if (taken < limit) {
         std::vector<Entry> &heap = zone(server.info.zone).heap;
         heap.push_back(estimate(server, taken));
         std::push_heap(heap.begin(), heap.end(), costlierFor<Entry>(1.0));
-        return;
+        return limit - taken;
     }
     if (server.activeAttempts.empty())
-        return;
+        return 0;
     TimePoint earliestEnd = TimePoint::max();
     for (const ActiveAttempt &each : server.activeAttempts)
         earliestEnd = std::min(earliestEnd, each.expectedEnd);
@@ -112,6 +113,7 @@
     m_full.push_back(entry);
     if (m_waitWork > 0)
         std::push_heap(m_full.begin(), m_full.end(), costlierFor<Entry>(m_waitWork));
+    return 0;
 }
 
 std::optional<ServerRanking::Entry>
--- a/packages/broker/src/serverranking.h
+++ b/packages/broker/src/serverranking.h
@@ -53,7 +53,9 @@
     };
 
     Entry estimate(ServerState &server, unsigned taken) const;
-    void insert(ServerState &server);
+    unsigned limitOf(const ServerState &server);
+    /// Adds an entry for \a server and returns the number of its free slots.
+    unsigned insert(ServerState &server);
     Zone &zone(std::uint32_t key);
     /// Returns the entry with the lowest cost for \a work whose server \a request may use.
     std::optional<Entry> cheapest(std::vector<Entry> &heap, const AttemptRequest &request,
