Broker: Rank servers by how much more they fail than the service

Cause: the failure share of a server was compared with 0. While all servers of a service reject half of their requests, the few that rejected least by chance look up to 13 times cheaper; late requests wait for these and are refused when the queue is full, beside free slots. Each rejection also paused its server for 60 ms, also when its load report showed free slots.

Change: only the share that exceeds the moving average of the service raises the cost, and a rejection pauses a server only if its report shows no room.

--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -247,6 +247,9 @@
     /// that it stays near 1; otherwise work and bias could drift apart without limit, because the
     /// attempts show their product only.
     double meanBias = 1.0;
+    /// Moving average over attempts of the share without a usable answer. A server counts as worse
+    /// than others only by what its own share exceeds this.
+    double meanFailureShare = 0;
     std::unordered_map<std::uint64_t, CrashSuspect> crashSuspects;
     std::vector<AttemptRequest> queue;
     /// The server of each attempt that occupies a slot, and queuedPlacement for each queued
--- a/packages/broker/src/estimate.cpp
+++ b/packages/broker/src/estimate.cpp
@@ -37,6 +37,7 @@
 constexpr Duration biasHalfLife = milliseconds(2500);
 constexpr double failureSmoothing = 0.2;
 constexpr Duration failureHalfLife = milliseconds(2500);
+constexpr double meanFailureSmoothing = 0.02;
 /// Mean work that is assumed before the first sample, as a part of the latency target.
 constexpr double initialWorkShare = 0.3;
 /// Time after a change of the leader in which every load report counts, because the new leader
@@ -147,6 +148,8 @@
     return found->second.workSeconds;
 }
 
+namespace {
+
 double failureShare(const ServerState &server, TimePoint now)
 {
     if (server.failureShare == 0)
@@ -154,6 +157,13 @@
     return server.failureShare * decay(now - server.failureShareUpdated, failureHalfLife);
 }
 
+} // namespace
+
+double excessFailureShare(const ServiceState &state, const ServerState &server, TimePoint now)
+{
+    return std::max(0.0, failureShare(server, now) - state.meanFailureShare);
+}
+
 namespace {
 
 /// Updates the occupancy factor from an attempt that ended while others were running.
@@ -209,11 +219,13 @@
     server.biasUpdated = now;
 }
 
-void updateFailureShare(ServerState &server, bool isFailure, TimePoint now)
+void updateFailureShare(ServiceState &state, ServerState &server, bool isFailure, TimePoint now)
 {
+    const double sample = isFailure ? 1.0 : 0.0;
     const double share = failureShare(server, now);
-    server.failureShare = share + failureSmoothing * ((isFailure ? 1.0 : 0.0) - share);
+    server.failureShare = share + failureSmoothing * (sample - share);
     server.failureShareUpdated = now;
+    state.meanFailureShare += meanFailureSmoothing * (sample - state.meanFailureShare);
 }
 
 } // namespace apricotrock::broker
--- a/packages/broker/src/estimate.h
+++ b/packages/broker/src/estimate.h
@@ -17,8 +17,9 @@
 /// before the first sample.
 double workSeconds(const ServiceState &state, RouteKey route, Duration objective);
 
-/// Returns the estimated share of attempts that fail on \a server, decayed to \a now.
-double failureShare(const ServerState &server, TimePoint now);
+/// Returns by how much the estimated share of attempts that fail on \a server, decayed to \a now,
+/// exceeds that of the service. Which server failed least is chance where all fail alike.
+double excessFailureShare(const ServiceState &state, const ServerState &server, TimePoint now);
 
 /// Returns the factor by which work takes longer with \a running attempts on a server of \a slots
 /// slots.
@@ -35,8 +36,8 @@
 /// Estimates how much of the reported load comes from attempts that this state doesn't know.
 void updateUntrackedLoad(ServerState &server, const LoadReport &report, TimePoint now);
 
-/// Updates the failure share with the outcome of one attempt.
-void updateFailureShare(ServerState &server, bool isFailure, TimePoint now);
+/// Updates the failure shares of \a server and of the service with the outcome of one attempt.
+void updateFailureShare(ServiceState &state, ServerState &server, bool isFailure, TimePoint now);
 
 Duration toDuration(double seconds);
 double toSeconds(Duration duration);
--- a/packages/broker/src/serverranking.cpp
+++ b/packages/broker/src/serverranking.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Weight of the failure share of a server in the cost of an attempt.
+/// Weight of the excess failure share of a server in the cost of an attempt.
 constexpr double failureCostFactor = 4.0;
 /// Part of the work time that is added to the cost of a server in another availability zone, so
 /// that traffic crosses availability zones only if the server is faster by more than this.
@@ -17,7 +17,7 @@
 /// Total delay that an attempt causes to the other attempts on a full server, as a part of its own
 /// duration.
 constexpr double contentionCost = 0.2;
-/// A server with a higher failure share is used only if no other server has a free slot.
+/// A server with a higher excess failure share is used only if no other server has a free slot.
 constexpr double degradedFailureShare = 0.45;
 
 bool isExcluded(const AttemptRequest &request, ServerKey key)
@@ -64,7 +64,7 @@
     entry.server = &server;
     entry.attempts = server.activeAttempts.size();
     entry.durationFactor = durationFactor(m_state, server, taken, m_now);
-    const double failures = failureShare(server, m_now);
+    const double failures = excessFailureShare(m_state, server, m_now);
     double penalty = 1 + failureCostFactor * failures;
     if (failures > degradedFailureShare)
         penalty *= failureCostFactor;
--- a/packages/broker/src/service.cpp
+++ b/packages/broker/src/service.cpp
@@ -16,7 +16,7 @@
 constexpr unsigned maxPauseDoublings = 4;
 /// Minimum interval between probes of a server that can't be reached.
 constexpr Duration unreachableProbeInterval = milliseconds(400);
-/// Time for which a server gets no attempts after it has rejected one.
+/// Time for which a server gets no attempts after it has rejected one because it is full.
 constexpr Duration rejectionPause = milliseconds(60);
 
 void markUnreachable(ServiceState &state, ServerState &server, TimePoint now)
@@ -110,7 +110,7 @@
     }
     switch (end.outcome) {
     case AttemptOutcome::Answered:
-        updateFailureShare(server, false, now);
+        updateFailureShare(state, server, false, now);
         server.connectFailures = 0;
         if (attempt) {
             updateDurationEstimates(state, server, *attempt, end, now);
@@ -118,21 +118,23 @@
         }
         break;
     case AttemptOutcome::Rejected:
-        server.unreachableUntil = std::max(server.unreachableUntil, now + rejectionPause);
-        updateFailureShare(server, true, now);
+        // A server that rejects requests although it has room may run the next one.
+        if (!end.load || end.load->running + end.load->waiting >= server.info.slots)
+            server.unreachableUntil = std::max(server.unreachableUntil, now + rejectionPause);
+        updateFailureShare(state, server, true, now);
         break;
     case AttemptOutcome::ConnectFailed:
         markUnreachable(state, server, now);
-        updateFailureShare(server, true, now);
+        updateFailureShare(state, server, true, now);
         break;
     case AttemptOutcome::Lost:
         if (attempt)
             recordLostAttempt(server, attempt->fingerprint, now);
-        updateFailureShare(server, true, now);
+        updateFailureShare(state, server, true, now);
         break;
     case AttemptOutcome::Failed:
     case AttemptOutcome::TimedOut:
-        updateFailureShare(server, true, now);
+        updateFailureShare(state, server, true, now);
         break;
     case AttemptOutcome::Cancelled:
         // The time until the cancellation is a lower bound of the duration if it exceeds the
--- a/packages/broker/tests/overloadtest.cpp
+++ b/packages/broker/tests/overloadtest.cpp
@@ -28,6 +28,10 @@
 constexpr double slowdownOfSlow = 4.0;
 /// Factor by which a request takes longer on a server without a free slot.
 constexpr double fullServerFactor = 1.7;
+/// Time in which a server rejects a request that it does not run.
+constexpr Duration rejectionTime = 3ms;
+/// Number of servers that a call tries if they reject it.
+constexpr unsigned maxAttemptsPerCall = 3;
 /// Processor time of the leader for one examined entry and for one message, on half of a core.
 constexpr Duration entryCost = 90ns;
 constexpr Duration messageCost = 50us;
@@ -80,6 +84,14 @@
         }
     }
 
+    /// Every server rejects \a share of its requests from \a begin to \a end, although it has room.
+    void addShedding(double share, TimePoint begin, TimePoint end)
+    {
+        m_sheddingShare = share;
+        m_sheddingBegin = begin;
+        m_sheddingEnd = end;
+    }
+
     void runUntil(TimePoint end)
     {
         probe();
@@ -89,6 +101,7 @@
             const auto action = std::move(first->second);
             m_events.erase(first);
             action();
+            measureWaits();
         }
     }
 
@@ -106,6 +119,24 @@
         return inTime / calls;
     }
 
+    /// Returns the share of the calls started in a period that were refused because of the queue.
+    [[nodiscard]] double shareRefusedByQueue(TimePoint begin, TimePoint end) const
+    {
+        double calls = 0;
+        double refused = 0;
+        for (const Call &call : m_calls) {
+            if (call.started < begin || call.started >= end)
+                continue;
+            ++calls;
+            refused += call.isRefusedByQueue ? 1 : 0;
+        }
+        return refused / calls;
+    }
+
+    /// Returns the longest time for which a request stayed queued while a quarter of the slots of
+    /// all servers was free all the time.
+    [[nodiscard]] Duration longestWaitBesideFreeSlots() const { return m_longestWaitBesideFree; }
+
     /// Returns the work of the route as the leader estimates it.
     [[nodiscard]] double estimatedWork() const
     {
@@ -125,6 +156,9 @@
         bool isDecided = false;
         bool isQueued = false;
         bool isFallback = false;
+        bool isRefusedByQueue = false;
+        unsigned attempts = 0;
+        std::array<ServerKey, maxExcludedServers> excluded{};
     };
     struct Attempt
     {
@@ -143,6 +177,22 @@
         bool isPassScheduled = false;
     };
 
+    void measureWaits()
+    {
+        std::size_t taken = 0;
+        for (const Server &server : m_servers)
+            taken += std::min<std::size_t>(slotsPerServer, server.running + server.waiting.size());
+        constexpr double freeShare = 0.25;
+        if (static_cast<double>(taken)
+            > (1 - freeShare) * static_cast<double>(slotsPerServer * (m_servers.size() - 1)))
+            m_freeSince = m_now;
+        for (const AttemptRequest &each : m_leader.state.queue) {
+            const TimePoint since =
+                std::max({m_freeSince, m_calls[each.key.ticket].started, m_sheddingBegin});
+            m_longestWaitBesideFree = std::max(m_longestWaitBesideFree, m_now - since);
+        }
+    }
+
     void after(Duration delay, std::function<void()> action)
     {
         m_events.emplace(m_now + delay, std::move(action));
@@ -219,7 +269,12 @@
     {
         const std::size_t ticket = m_calls.size();
         m_calls.push_back({m_now, {}});
-        const AttemptRequest request = makeRequest(ticket, m_now);
+        m_calls[ticket].attempts = 0;
+        sendRequest(makeRequest(ticket, m_now));
+    }
+
+    void sendRequest(const AttemptRequest &request)
+    {
         sendToLeader([this, request] {
             const Decision decision = requestAttempt(m_leader.state, request, m_now);
             if (decision.verdict != Verdict::Queued)
@@ -261,13 +316,43 @@
         if (call.isFallback != isFallback)
             return;
         call.isDecided = true;
+        call.isRefusedByQueue = decision.reason == RefusalReason::QueueFull;
         if (decision.verdict == Verdict::Granted)
             startAttempt(decision);
     }
 
+    /// Sends a call that a server has rejected to another one.
+    void retry(const Decision &decision)
+    {
+        Call &call = m_calls[decision.key.ticket];
+        if (call.attempts >= maxAttemptsPerCall)
+            return;
+        AttemptRequest request = makeRequest(decision.key.ticket, call.started);
+        request.earlierAttempts = call.attempts;
+        request.excluded = call.excluded;
+        call.isDecided = call.isQueued = call.isFallback = false;
+        sendRequest(request);
+    }
+
+    [[nodiscard]] bool rejects()
+    {
+        return m_now >= m_sheddingBegin && m_now < m_sheddingEnd
+            && std::bernoulli_distribution(m_sheddingShare)(m_random);
+    }
+
     void startAttempt(const Decision &decision)
     {
         Server &server = m_servers[decision.server];
+        Call &call = m_calls[decision.key.ticket];
+        call.excluded[call.attempts++ % maxExcludedServers] = decision.server;
+        if (rejects()) {
+            const Attempt attempt{decision, m_now};
+            after(rejectionTime, [this, attempt] {
+                finishAttempt(attempt, AttemptOutcome::Rejected);
+                retry(attempt.decision);
+            });
+            return;
+        }
         server.waiting.push_back({decision, m_now});
         if (server.running < slotsPerServer)
             runNext(server);
@@ -312,8 +397,9 @@
         Call &call = m_calls[decision.key.ticket];
         if (outcome == AttemptOutcome::Answered) {
             call.answered = m_now;
-            end.load = loadOf(decision.server);
         }
+        if (outcome != AttemptOutcome::TimedOut)
+            end.load = loadOf(decision.server);
         Decider &sender = senderOf(decision.key.ticket);
         recordAttemptEnd(sender.state, end, m_now);
         decideLocally(sender);
@@ -330,6 +416,11 @@
     std::vector<Call> m_calls;
     std::deque<Handler> m_leaderInput;
     bool m_isLeaderBusy = false;
+    double m_sheddingShare = 0;
+    TimePoint m_sheddingBegin;
+    TimePoint m_sheddingEnd;
+    TimePoint m_freeSince = start;
+    Duration m_longestWaitBesideFree{};
 };
 
 } // namespace
@@ -340,6 +431,7 @@
     CPPUNIT_TEST(serviceRecoversAfterABurst);
     CPPUNIT_TEST(workEstimateDoesNotDriftInABurst);
     CPPUNIT_TEST(costOfAPassIsNotQueueTimesServers);
+    CPPUNIT_TEST(freeSlotsAreUsedWhileAllServersShed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -384,6 +476,27 @@
         }
     }
 
+    // Pattern: all servers of a service reject half of their requests within milliseconds, have
+    // free slots and answer probes. Guards against requests that wait for the few servers which
+    // rejected least, and are refused when the queue is full while most slots are free.
+    void freeSlotsAreUsedWhileAllServersShed()
+    {
+        for (const unsigned servers : {50U, 170U, 300U}) {
+            OverloadSimulation simulation(servers);
+            const TimePoint begin = OverloadSimulation::start + 3s;
+            const TimePoint end = begin + 6s;
+            simulation.addShedding(0.55, begin, end);
+            simulation.addLoad(servers * calmRatePerServer, OverloadSimulation::start, end);
+            simulation.runUntil(end + routeTimeout);
+            // An attempt on a slow server that runs nothing else.
+            CPPUNIT_ASSERT_LESSEQUAL(
+                std::chrono::duration_cast<Duration>(workTime * slowdownOfSlow),
+                simulation.longestWaitBesideFreeSlots());
+            // Share of the whole day of which the fleet may refuse requests in this trouble.
+            CPPUNIT_ASSERT_LESSEQUAL(0.08, simulation.shareRefusedByQueue(begin, end));
+        }
+    }
+
     // Guards against passes over the queue that look at every server for every queued request.
     void costOfAPassIsNotQueueTimesServers()
     {
