--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -53,6 +53,8 @@
     HedgeNotUseful,
     /// Requests with the same fingerprint have crashed several servers.
     Quarantined,
+    /// Every server has told the instance to send nothing until after the deadline.
+    ServersPaused,
 };
 
 /// Identifies an attempt by the instance that requests it and the ticket that it has there.
@@ -125,6 +127,9 @@
     AttemptOutcome outcome = AttemptOutcome::Answered;
     std::optional<LoadReport> load;
     Duration duration{};
+    /// Time for which the server wants no requests from the instance of the attempt; 0 if it did
+    /// not say so.
+    Duration pause{};
 };
 
 struct ServerInfo
@@ -210,6 +215,13 @@
     unsigned samples = 0;
 };
 
+/// A server that wants no requests from one instance for some time. Other instances may send to it.
+struct ServerPause
+{
+    ServerKey server = 0;
+    TimePoint until;
+};
+
 /// Counts requests and extra attempts (retries and hedges) in slices of the retry window.
 struct RetryBudget
 {
@@ -251,6 +263,8 @@
     /// than others only by what its own share exceeds this.
     double meanFailureShare = 0;
     std::unordered_map<std::uint64_t, CrashSuspect> crashSuspects;
+    /// Pauses by the instance (AttemptKey::instance) that they apply to; one for each server.
+    std::unordered_map<std::uint64_t, std::vector<ServerPause>> pauses;
     std::vector<AttemptRequest> queue;
     /// The server of each attempt that occupies a slot, and queuedPlacement for each queued
     /// request.
@@ -278,6 +292,10 @@
 /// Removes a request from the queue. Returns false if none with \a key is queued.
 bool withdraw(ServiceState &state, const AttemptKey &key);
 
+/// Returns how long \a server wants no requests from \a instance from now on; 0 if it takes them.
+Duration remainingPause(const ServiceState &state, std::uint64_t instance, ServerKey server,
+                        TimePoint now);
+
 /// Frees the slot of an attempt and updates the estimates from its outcome.
 void recordAttemptEnd(ServiceState &state, const AttemptEnd &end, TimePoint now);
 
--- a/packages/broker/src/dispatch.cpp
+++ b/packages/broker/src/dispatch.cpp
@@ -42,6 +42,9 @@
 /// ends after the deadline of most requests.
 constexpr Duration minRetryAfter = milliseconds(50);
 constexpr Duration maxRetryAfter = milliseconds(1500);
+/// The same while all servers have paused the instance, who said how long: a retry before that is
+/// refused again.
+constexpr Duration maxPausedRetryAfter = std::chrono::seconds(60);
 /// Share of the retry slack in the first window of a new leader, which doesn't know the attempts
 /// that were sent before.
 constexpr double newLeaderSlackShare = 0.3;
@@ -80,7 +83,9 @@
     decision.key = request.key;
     decision.verdict = Verdict::Refused;
     decision.reason = reason;
-    decision.retryAfter = std::clamp(retryAfter, minRetryAfter, maxRetryAfter);
+    const bool isPaused = reason == RefusalReason::ServersPaused;
+    decision.retryAfter =
+        std::clamp(retryAfter, minRetryAfter, isPaused ? maxPausedRetryAfter : maxRetryAfter);
     decision.slots = load.slots;
     decision.taken = load.taken;
     decision.waiting = static_cast<unsigned>(load.waiting);
@@ -179,6 +184,21 @@
     return decision;
 }
 
+/// Returns the time until the first server takes requests from the instance of \a request again,
+/// or 0 if one takes them now.
+Duration pauseOfAllServers(const ServiceState &state, const AttemptRequest &request, TimePoint now)
+{
+    const auto found = state.pauses.find(request.key.instance);
+    if (found == state.pauses.end() || found->second.size() < state.servers.size())
+        return {};
+    Duration shortest = Duration::max();
+    for (const auto &[key, server] : state.servers) {
+        if (server.info.isUsable)
+            shortest = std::min(shortest, remainingPause(state, request.key.instance, key, now));
+    }
+    return shortest == Duration::max() ? Duration(0) : shortest;
+}
+
 bool canMeetDeadline(const ServiceState &state, const AttemptRequest &request, TimePoint now)
 {
     const double work = workSeconds(state, request.route, request.objective);
@@ -276,6 +296,9 @@
         return refuse(request, RefusalReason::NoServer, maxRetryAfter, load);
     if (!canMeetDeadline(state, request, now))
         return refuse(request, RefusalReason::DeadlineUnmeetable, minRetryAfter, load);
+    const Duration pause = pauseOfAllServers(state, request, now);
+    if (!canMeetDeadline(state, request, now + pause))
+        return refuse(request, RefusalReason::ServersPaused, pause, load);
     if (request.earlierAttempts > 0
         && !tryConsumeRetry(state.budget, state.policy, slackShare(state, now), now))
         return refuse(request, RefusalReason::RetryBudget, queueDrainTime(state, slots), load);
--- a/packages/broker/src/serverranking.cpp
+++ b/packages/broker/src/serverranking.cpp
@@ -20,10 +20,12 @@
 /// A server with a higher excess failure share is used only if no other server has a free slot.
 constexpr double degradedFailureShare = 0.45;
 
-bool isExcluded(const AttemptRequest &request, ServerKey key)
+bool isExcluded(const ServiceState &state, const AttemptRequest &request, ServerKey key,
+                TimePoint now)
 {
     return std::find(request.excluded.begin(), request.excluded.end(), key)
-        != request.excluded.end();
+        != request.excluded.end()
+        || remainingPause(state, request.key.instance, key, now) > Duration(0);
 }
 
 /// Order of a heap with the lowest cost on top. Entries of free servers have no wait.
@@ -120,24 +122,23 @@
 ServerRanking::cheapest(std::vector<Entry> &heap, const AttemptRequest &request, double work)
 {
     const auto isCostlier = costlierFor<Entry>(work);
-    std::array<Entry, maxExcludedServers> skipped;
-    std::size_t skippedCount = 0;
+    std::vector<Entry> skipped;
     std::optional<Entry> found;
     while (!heap.empty() && !found) {
         ++m_state.examinedEntries;
         const Entry &top = heap.front();
         const bool isOutdated = top.attempts != top.server->activeAttempts.size();
-        if (!isOutdated && !isExcluded(request, top.server->info.key)) {
+        if (!isOutdated && !isExcluded(m_state, request, top.server->info.key, m_now)) {
             found = top;
             continue;
         }
         if (!isOutdated)
-            skipped[skippedCount++] = top;
+            skipped.push_back(top);
         std::pop_heap(heap.begin(), heap.end(), isCostlier);
         heap.pop_back();
     }
-    for (std::size_t i = 0; i < skippedCount; ++i) {
-        heap.push_back(skipped[i]);
+    for (const Entry &each : skipped) {
+        heap.push_back(each);
         std::push_heap(heap.begin(), heap.end(), isCostlier);
     }
     return found;
--- a/packages/broker/src/service.cpp
+++ b/packages/broker/src/service.cpp
@@ -27,6 +27,17 @@
     ++server.connectFailures;
 }
 
+void recordPause(ServiceState &state, std::uint64_t instance, const ServerPause &pause,
+                 TimePoint now)
+{
+    std::vector<ServerPause> &pauses = state.pauses[instance];
+    std::erase_if(pauses, [&](const ServerPause &each) {
+        return each.until <= now || each.server == pause.server
+            || !state.servers.contains(each.server);
+    });
+    pauses.push_back(pause);
+}
+
 std::optional<ActiveAttempt> removeAttempt(ServiceState &state, ServerState &server,
                                            const AttemptKey &key)
 {
@@ -97,6 +108,19 @@
         markUnreachable(state, found->second, now);
 }
 
+Duration remainingPause(const ServiceState &state, std::uint64_t instance, ServerKey server,
+                        TimePoint now)
+{
+    const auto found = state.pauses.find(instance);
+    if (found == state.pauses.end())
+        return {};
+    for (const ServerPause &each : found->second) {
+        if (each.server == server)
+            return std::max(Duration(0), each.until - now);
+    }
+    return {};
+}
+
 void recordAttemptEnd(ServiceState &state, const AttemptEnd &end, TimePoint now)
 {
     const auto found = state.servers.find(end.server);
@@ -104,6 +128,8 @@
         return;
     ServerState &server = found->second;
     const std::optional<ActiveAttempt> attempt = removeAttempt(state, server, end.key);
+    if (end.pause > Duration(0))
+        recordPause(state, end.key.instance, {end.server, now + end.pause}, now);
     if (end.load) {
         learnLoad(state, end.server, *end.load, now);
         updateUntrackedLoad(server, *end.load, now);
@@ -224,6 +250,8 @@
         return "hedge_not_useful";
     case RefusalReason::Quarantined:
         return "quarantined";
+    case RefusalReason::ServersPaused:
+        return "servers_paused";
     }
     return "invalid";
 }
--- a/packages/broker/tests/brokertest.cpp
+++ b/packages/broker/tests/brokertest.cpp
@@ -98,9 +98,75 @@
     CPPUNIT_TEST(probesOfALargeServiceAreBounded);
     CPPUNIT_TEST(ownAvailabilityZoneIsPreferredAtEqualSpeed);
     CPPUNIT_TEST(longQueueIsNotProcessedAtEveryEvent);
+    CPPUNIT_TEST(pausedServerIsLeftToOtherInstances);
+    CPPUNIT_TEST(requestIsRefusedWhileAllServersArePaused);
+    CPPUNIT_TEST(rejectionOfAServerWithRoomDoesNotPauseIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Pattern: servers answer 503 with Retry-After, which holds for one instance. Guards against
+    // granting the instance their slots, and against keeping the slots from the others.
+    void pausedServerIsLeftToOtherInstances()
+    {
+        ServiceFixture fixture(2);
+        AttemptEnd end{{1, 99}, 1, AttemptOutcome::Cancelled, std::nullopt, {}};
+        end.pause = 800ms;
+        recordAttemptEnd(fixture.state, end, fixture.now);
+        for (int i = 0; i < 2; ++i)
+            CPPUNIT_ASSERT_EQUAL(
+                ServerKey(2),
+                requestAttempt(fixture.state, fixture.makeRequest(), fixture.now).server);
+        CPPUNIT_ASSERT(requestAttempt(fixture.state, fixture.makeRequest(), fixture.now).verdict
+                       == Verdict::Queued);
+        AttemptRequest other = fixture.makeRequest();
+        other.key.instance = 2;
+        requestAttempt(fixture.state, other, fixture.now);
+        const auto decisions = processQueue(fixture.state, fixture.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), decisions.size());
+        CPPUNIT_ASSERT_EQUAL(ServerKey(1), decisions.front().server);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), decisions.front().key.instance);
+        const auto later = processQueue(fixture.state, fixture.now + 800ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), later.size());
+    }
+
+    // Guards against requests that wait for servers which will not take them in time, and against a
+    // Retry-After that ends before the pauses.
+    void requestIsRefusedWhileAllServersArePaused()
+    {
+        ServiceFixture fixture(2);
+        for (const ServerKey server : {1, 2}) {
+            AttemptEnd end{{1, 99}, server, AttemptOutcome::Cancelled, std::nullopt, {}};
+            end.pause = server * 2s;
+            recordAttemptEnd(fixture.state, end, fixture.now);
+        }
+        const Decision decision = requestAttempt(fixture.state, fixture.makeRequest(), fixture.now);
+        CPPUNIT_ASSERT(decision.reason == RefusalReason::ServersPaused);
+        CPPUNIT_ASSERT(decision.retryAfter == Duration(2s));
+        // A request whose deadline is after the end of a pause waits.
+        CPPUNIT_ASSERT(
+            requestAttempt(fixture.state, fixture.makeRequest(3s, 4s), fixture.now).verdict
+            == Verdict::Queued);
+    }
+
+    // Guards against leaving slots unused because a server rejects some requests at random.
+    void rejectionOfAServerWithRoomDoesNotPauseIt()
+    {
+        ServiceFixture fixture(1);
+        for (const unsigned running : {0U, 2U}) {
+            const Decision granted =
+                requestAttempt(fixture.state, fixture.makeRequest(), fixture.now);
+            recordAttemptEnd(fixture.state,
+                             {granted.key, granted.server, AttemptOutcome::Rejected,
+                              LoadReport{running, 0, 2, 1.0}, 3ms},
+                             fixture.now);
+            const Verdict expected = running == 0 ? Verdict::Granted : Verdict::Queued;
+            const Decision next = requestAttempt(fixture.state, fixture.makeRequest(), fixture.now);
+            CPPUNIT_ASSERT(next.verdict == expected);
+            if (next.verdict == Verdict::Granted)
+                fixture.end(next, AttemptOutcome::Answered);
+        }
+    }
+
     // Guards against sending two requests to one server while another one is idle.
     void idleServersAreFilledBeforeBusyOnes()
     {
--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -135,6 +135,15 @@
     std::optional<TimePoint> removalGraceUntil;
     /// End of the time in which the server is slow after its start.
     TimePoint slowStartUntil;
+    /// The process of the entry said in a response that it leaves. Its record may still say ready.
+    bool isLeaving = false;
+};
+
+/// A process of a backend server that said in a response that it leaves.
+struct LeavingServer
+{
+    std::string id;
+    std::uint64_t processStartMs = 0;
 };
 
 /// The backend servers as of a position in the store's stream of records.
@@ -156,6 +165,12 @@
     /// later. Returns the changes that affect routing.
     std::vector<Change> mergeSnapshot(const std::vector<ServerRecord> &records, std::uint64_t end,
                                       TimePoint now);
+    /// Records that a process of a backend server leaves, as it said itself. The mark outlives
+    /// later records of the same process, unless they say draining and then ready. Returns the
+    /// change if the server was usable until now.
+    std::optional<Change> markLeaving(const LeavingServer &leaving);
+    /// Returns the processes that said that they leave while their record still says ready.
+    [[nodiscard]] std::vector<LeavingServer> leavingServers() const;
     /// Records that all records before \a position have been merged.
     void advanceTo(std::uint64_t position);
     /// Record the outcome of a call to the store. Servers whose removal is read during or shortly
@@ -174,9 +189,12 @@
 
 private:
     std::optional<Change> mergeRecord(const ServerRecord &record, TimePoint now);
+    [[nodiscard]] bool hasEntry(const std::string &id) const;
     [[nodiscard]] std::optional<TimePoint> removalGrace(TimePoint now) const;
 
     std::map<std::string, KnownServer> m_servers;
+    /// Start times of leaving processes by server id, also of servers that are not known yet.
+    std::map<std::string, std::uint64_t> m_leaving;
     std::uint64_t m_position = 0;
     bool m_hasSnapshot = false;
     std::optional<TimePoint> m_outageSince;
--- a/packages/fleet/src/serverdirectory.cpp
+++ b/packages/fleet/src/serverdirectory.cpp
@@ -15,6 +15,8 @@
 constexpr Duration registrationGrace = milliseconds(2100);
 /// Removals that the outage causes can be read this long before the first call fails.
 constexpr Duration outageDetectionDelay = milliseconds(1000);
+/// Bound of the memory for leaving processes; more than the servers of a fleet.
+constexpr std::size_t maxLeavingServers = 10000;
 
 } // namespace
 
@@ -27,7 +29,7 @@
 
 bool ServerDirectory::isUsable(const KnownServer &server)
 {
-    return server.entry && server.entry->phase == ServerPhase::Ready
+    return server.entry && server.entry->phase == ServerPhase::Ready && !server.isLeaving
         && (server.record.entry || server.removalGraceUntil);
 }
 
@@ -71,6 +73,13 @@
     if (record.entry) {
         server.removalGraceUntil.reset();
         server.entry = record.entry;
+        const bool hasReturned = before && before->phase == ServerPhase::Draining
+            && record.entry->phase == ServerPhase::Ready;
+        const auto leaving = m_leaving.find(record.id);
+        if (leaving != m_leaving.end()
+            && (hasReturned || leaving->second != record.entry->processStartMs))
+            m_leaving.erase(leaving);
+        server.isLeaving = m_leaving.contains(record.id);
         if (!before || before->processStartMs != record.entry->processStartMs
             || record.entry->slowStartRemaining > Duration::zero())
             server.slowStartUntil = now + record.entry->slowStartRemaining;
@@ -90,6 +99,43 @@
     return change;
 }
 
+std::optional<ServerDirectory::Change> ServerDirectory::markLeaving(const LeavingServer &leaving)
+{
+    const auto found = m_servers.find(leaving.id);
+    const bool isKnown = hasEntry(leaving.id);
+    if (isKnown && found->second.entry->processStartMs > leaving.processStartMs)
+        return std::nullopt;
+    if (m_leaving.size() >= maxLeavingServers)
+        std::erase_if(m_leaving, [this](const auto &each) { return !hasEntry(each.first); });
+    if (!m_leaving.contains(leaving.id) && m_leaving.size() >= maxLeavingServers)
+        return std::nullopt;
+    std::uint64_t &start = m_leaving[leaving.id];
+    start = std::max(start, leaving.processStartMs);
+    if (!isKnown || found->second.entry->processStartMs != start || !isUsable(found->second))
+        return std::nullopt;
+    found->second.isLeaving = true;
+    return Change{leaving.id, "leaving", found->second.record.offset};
+}
+
+bool ServerDirectory::hasEntry(const std::string &id) const
+{
+    const auto found = m_servers.find(id);
+    return found != m_servers.end() && found->second.entry;
+}
+
+std::vector<LeavingServer> ServerDirectory::leavingServers() const
+{
+    std::vector<LeavingServer> leaving;
+    for (const auto &[id, start] : m_leaving) {
+        const auto found = m_servers.find(id);
+        const bool isReady = found != m_servers.end() && found->second.entry
+            && found->second.entry->phase == ServerPhase::Ready;
+        if (isReady || found == m_servers.end())
+            leaving.push_back({id, start});
+    }
+    return leaving;
+}
+
 std::vector<ServerDirectory::Change>
 ServerDirectory::merge(const std::vector<ServerRecord> &records, TimePoint now)
 {
--- a/packages/fleet/tests/serverdirectorytest.cpp
+++ b/packages/fleet/tests/serverdirectorytest.cpp
@@ -47,9 +47,66 @@
     CPPUNIT_TEST(drainingServerStaysUnusableDuringOutage);
     CPPUNIT_TEST(serverWithUnreadableRecordIsNotUsable);
     CPPUNIT_TEST(newProcessWithSameIdIsReportedAsChange);
+    CPPUNIT_TEST(leavingServerIsNotUsable);
+    CPPUNIT_TEST(leavingServerIsUsableAfterItHasReturned);
+    CPPUNIT_TEST(markOfAnUnknownServerIsKept);
+    CPPUNIT_TEST(markOfAnEarlierProcessIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a record, a snapshot or a store outage that makes a server usable again which
+    // said itself that it leaves.
+    void leavingServerIsNotUsable()
+    {
+        ServerDirectory directory;
+        directory.merge({makeRecord("a", 1)}, m_now);
+        const auto change = directory.markLeaving({"a", 0});
+        CPPUNIT_ASSERT(change && change->what == "leaving");
+        CPPUNIT_ASSERT(!directory.markLeaving({"a", 0}));
+        directory.merge({makeRecord("a", 2)}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "a"));
+        directory.mergeSnapshot({makeRecord("a", 3)}, 4, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "a"));
+        directory.storeFailed(m_now);
+        directory.merge({makeRemoval("a", 5)}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "a"));
+        directory.merge({makeRecord("a", 6)}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "a"));
+    }
+
+    // Guards against holding a mark against a server that drained and is ready again.
+    void leavingServerIsUsableAfterItHasReturned()
+    {
+        ServerDirectory directory;
+        directory.merge({makeRecord("a", 1)}, m_now);
+        directory.markLeaving({"a", 0});
+        directory.merge({makeRecord("a", 2, ServerPhase::Draining)}, m_now);
+        CPPUNIT_ASSERT(directory.leavingServers().empty());
+        CPPUNIT_ASSERT(!directory.merge({makeRecord("a", 3)}, m_now).empty());
+        CPPUNIT_ASSERT(isUsable(directory, "a"));
+    }
+
+    // Guards against losing a mark that arrives before the record of the server.
+    void markOfAnUnknownServerIsKept()
+    {
+        ServerDirectory directory;
+        directory.markLeaving({"a", 0});
+        directory.merge({makeRecord("a", 1)}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.leavingServers().size());
+    }
+
+    // Guards against a late message about a process that has been replaced.
+    void markOfAnEarlierProcessIsIgnored()
+    {
+        ServerDirectory directory;
+        ServerRecord record = makeRecord("a", 1);
+        record.entry->processStartMs = 20;
+        directory.merge({record}, m_now);
+        CPPUNIT_ASSERT(!directory.markLeaving({"a", 10}));
+        CPPUNIT_ASSERT(isUsable(directory, "a"));
+    }
+
     // Guards against a stale read or a delayed datagram that reverts a server from draining to
     // ready.
     void olderRecordIsIgnored()
--- a/packages/gateway/include/apricotrock/gateway.h
+++ b/packages/gateway/include/apricotrock/gateway.h
@@ -27,6 +27,8 @@
     std::string notExecuted;
     /// Id of the backend server that answered a probe.
     std::string serverId;
+    /// "1" in every response of a backend server that is going to stop.
+    std::string leaving;
 };
 
 enum class Topic { Configuration, BackendServers, Instances };
--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -1,6 +1,7 @@
 #include "call.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <fmt/format.h>
 
@@ -24,6 +25,9 @@
 /// Maximum number of slot requests for one call, including those after attempts that were refused
 /// without running.
 constexpr unsigned maxSlotRequests = 6;
+/// Maximum number of granted slots that one call does not use because their servers have paused
+/// this instance. Only a new leader grants such slots.
+constexpr unsigned maxPausedGrants = 20;
 /// No attempt is started with less time than this before the deadline.
 constexpr Duration minAttemptTime = milliseconds(10);
 
@@ -48,6 +52,25 @@
         != notExecutedStatuses.end();
 }
 
+/// Longest pause that a server can ask for; guards against a value by mistake.
+constexpr double maxPauseSeconds = 60;
+
+/// Parses a number of seconds, which may have a fraction. Returns nothing for other values, dates
+/// and negative numbers included, because a pause of unknown length cannot be kept.
+std::optional<Duration> parseRetryAfter(std::string_view text)
+{
+    double seconds = 0;
+    const auto [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
+    const bool isTooLarge = error == std::errc::result_out_of_range;
+    if ((error != std::errc() && !isTooLarge) || end != text.data() + text.size())
+        return std::nullopt;
+    if (!isTooLarge && (!std::isfinite(seconds) || seconds < 0))
+        return std::nullopt;
+    const double bounded = isTooLarge ? maxPauseSeconds : std::min(seconds, maxPauseSeconds);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bounded));
+}
+
 std::string formatSeconds(Duration duration)
 {
     return fmt::format("{:.3f}", std::chrono::duration<double>(duration).count());
@@ -158,6 +181,17 @@
         endAttempt(index, broker::AttemptOutcome::Cancelled, std::nullopt);
         return;
     }
+    const Duration pause = m_path.m_slotAllocator.remainingPause(m_plan.service, slot.server);
+    if (pause > Duration(0)) {
+        // The leader does not know of the pause; the release tells it.
+        m_excludedServers.push_back(slot.server);
+        if (++m_pausedGrants <= maxPausedGrants)
+            --m_slotRequests;
+        endAttempt(index, broker::AttemptOutcome::Cancelled, std::nullopt, pause);
+        if (!isHedge)
+            retryOrFail("server_paused");
+        return;
+    }
     if (!isKnown) {
         // This instance already knows that the server is leaving; the leader of the service does
         // not.
@@ -295,11 +329,24 @@
         : broker::AttemptOutcome::Answered;
 }
 
+Duration Call::readPause(const loop::HttpResponse &response) const
+{
+    const auto header = loop::findHeader(response.headers, "retry-after");
+    if (response.status != 503 || !header)
+        return {};
+    const std::optional<Duration> pause = parseRetryAfter(*header);
+    if (!pause)
+        m_path.countInvalidResponse("Retry-After is not a number of seconds");
+    return pause.value_or(Duration(0));
+}
+
 void Call::handleAttemptResult(std::size_t index, loop::ClientResult result)
 {
     const broker::AttemptOutcome outcome = classifyOutcome(result);
     const Attempt attempt = m_attempts[index];
     std::optional<broker::LoadReport> load;
+    Duration pause{};
+    bool isLeaving = false;
     if (result.status == loop::ClientStatus::InvalidResponse)
         m_path.countInvalidResponse(result.detail);
     if (result.status == loop::ClientStatus::ResponseReceived) {
@@ -307,6 +354,8 @@
             loop::findHeader(result.response.headers, m_path.m_context.adapter.headers.load);
         if (header)
             load = m_path.m_context.adapter.parseLoad(*header);
+        pause = readPause(result.response);
+        isLeaving = saysLeaving(result.response, m_path.m_context.adapter.headers);
         m_path.m_pool.giveBack(attempt.server, attempt.connection);
     }
     logEvent(EventLog::Level::Info, "attempt_ended", [&](LogLine &line) {
@@ -319,8 +368,12 @@
             line.number("running", load->running)
                 .number("waiting", load->waiting)
                 .number("slowdown_percent", std::lround(load->slowdown * 100));
+        if (pause > Duration(0))
+            line.milliseconds("pause", pause);
+        if (isLeaving)
+            line.flag("leaving", true);
     });
-    endAttempt(index, outcome, load);
+    endAttempt(index, outcome, load, pause, isLeaving);
     if (m_isFinished)
         return;
     switch (outcome) {
@@ -350,7 +403,7 @@
 }
 
 void Call::endAttempt(std::size_t index, broker::AttemptOutcome outcome,
-                      const std::optional<broker::LoadReport> &load)
+                      const std::optional<broker::LoadReport> &load, Duration pause, bool isLeaving)
 {
     Attempt &attempt = m_attempts[index];
     if (!attempt.isRunning)
@@ -361,7 +414,9 @@
     end.outcome = outcome;
     end.load = load;
     end.duration = Clock::now() - attempt.started;
-    m_path.m_slotAllocator.finishAttempt(attempt.ticket, end);
+    end.pause = pause;
+    const fleet::ServerEntry server = attempt.server;
+    m_path.m_slotAllocator.finishAttempt(attempt.ticket, end, isLeaving ? &server : nullptr);
 }
 
 void Call::retryOrFail(std::string_view failure)
--- a/packages/gateway/src/call.h
+++ b/packages/gateway/src/call.h
@@ -53,7 +53,10 @@
     void send(std::size_t index);
     void handleAttemptResult(std::size_t index, loop::ClientResult result);
     void endAttempt(std::size_t index, broker::AttemptOutcome outcome,
-                    const std::optional<broker::LoadReport> &load);
+                    const std::optional<broker::LoadReport> &load, Duration pause = {},
+                    bool isLeaving = false);
+    /// Returns how long the server wants no requests from this instance, as its response says.
+    [[nodiscard]] Duration readPause(const loop::HttpResponse &response) const;
     /// Retries on another backend server, or sends the final response if no retry is possible.
     void retryOrFail(std::string_view failure);
     void scheduleHedge(Duration delay);
@@ -94,6 +97,7 @@
     /// Attempts that may have run the request.
     unsigned m_attemptsSent = 0;
     unsigned m_slotRequests = 0;
+    unsigned m_pausedGrants = 0;
     unsigned m_hedgeRefusals = 0;
     bool m_mayHaveRun = false;
     bool m_isFinished = false;
--- a/packages/gateway/src/context.h
+++ b/packages/gateway/src/context.h
@@ -21,6 +21,9 @@
     fleet::RouteTable routes;
     /// The accepted configuration as the store holds it, for peers.
     std::string configurationText;
+    /// Called when a backend server says in a response, to this instance or to one that was granted
+    /// its slot, that it leaves. If the second argument is true, the other instances are told.
+    std::function<void(const fleet::LeavingServer &, bool)> serverLeaving;
 
     metrics::Counter &counter(const std::string &name, const std::string &help,
                               const metrics::Labels &labels = {})
@@ -29,6 +32,13 @@
     }
 };
 
+/// True if the response of a backend server says that the server leaves.
+inline bool saysLeaving(const loop::HttpResponse &response, const HeaderNames &names)
+{
+    const auto value = loop::findHeader(response.headers, names.leaving);
+    return value && *value == "1";
+}
+
 inline std::uint64_t serviceKey(std::string_view name)
 {
     return hash64(name, 1);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -58,7 +58,10 @@
                   fleet::Membership(ownInfo(settings)),
                   {},
                   {},
-                  {}},
+                  {},
+                  [this](const auto &leaving, bool tellsOthers) {
+                      tables.handleLeaving({leaving}, "response", tellsOthers);
+                  }},
           peers(context, peerHandlers()), slotAllocator(context, peers), pool(context),
           path(context, slotAllocator, pool), prober(context, slotAllocator, pool),
           tables(context, peers,
@@ -82,6 +85,7 @@
                 },
                 [this](const auto &ip, const auto &end) { slotAllocator.handleRelease(ip, end); },
                 [this](const auto &ip, const auto &message) { tables.handleTables(ip, message); },
+                [this](const auto &leaving) { tables.handleLeaving(leaving, "peer", false); },
                 [this](const auto &ip) { peerChanged(ip, "peer_joined"); },
                 [this](const auto &ip) { peerChanged(ip, "peer_lost"); }};
     }
@@ -212,6 +216,7 @@
         });
     });
     self.peers.setTableState([&self] { return self.tables.state(); });
+    self.peers.setLeavingServers([&self] { return self.context.servers.leavingServers(); });
     auto result = self.peers.start();
     if (result)
         result = self.tables.start();
--- a/packages/gateway/src/peerchannel.cpp
+++ b/packages/gateway/src/peerchannel.cpp
@@ -24,6 +24,8 @@
 constexpr Duration exchangeInterval = milliseconds(4000);
 /// Maximum number of instances in one datagram; keeps it below the usual path MTU.
 constexpr std::size_t instancesPerDatagram = 30;
+/// The same for leaving backend servers.
+constexpr std::size_t leavingPerDatagram = 30;
 
 fleet::InstanceInfo toInfo(const std::string &ip, const wire::SenderReportT &report)
 {
@@ -37,6 +39,21 @@
     return info;
 }
 
+/// Adds the servers from \a first on to \a message, up to the size of a datagram, and returns the
+/// index of the next one.
+std::size_t addLeaving(const std::vector<fleet::LeavingServer> &servers, std::size_t first,
+                       wire::GatewayMessageT &message)
+{
+    const std::size_t end = std::min(servers.size(), first + leavingPerDatagram);
+    for (std::size_t i = first; i < end; ++i) {
+        auto leaving = std::make_unique<wire::LeavingServerT>();
+        leaving->id = servers[i].id;
+        leaving->process_start_ms = servers[i].processStartMs;
+        message.leaving.push_back(std::move(leaving));
+    }
+    return end;
+}
+
 } // namespace
 
 PeerChannel::PeerChannel(Context &context, Handlers handlers)
@@ -191,6 +208,16 @@
         sendToZone(zone, message);
 }
 
+void PeerChannel::broadcastLeaving(const std::vector<fleet::LeavingServer> &servers)
+{
+    std::size_t next = 0;
+    while (next < servers.size()) {
+        wire::GatewayMessageT message = ownState(false);
+        next = addLeaving(servers, next, message);
+        broadcastTables(message);
+    }
+}
+
 void PeerChannel::announce()
 {
     broadcast(ownState(true));
@@ -231,6 +258,14 @@
         }
     }
     send(ip, message);
+    const std::vector<fleet::LeavingServer> leaving =
+        m_leavingServers ? m_leavingServers() : std::vector<fleet::LeavingServer>();
+    std::size_t next = 0;
+    while (next < leaving.size()) {
+        message = ownState(false);
+        next = addLeaving(leaving, next, message);
+        send(ip, message);
+    }
 }
 
 void PeerChannel::forwardNewInstances()
@@ -385,6 +420,12 @@
         handleZoneReport(*message.zone_report);
     for (const auto &each : message.instances)
         addPeer(each->ip, each->availability_zone);
+    if (!message.leaving.empty()) {
+        std::vector<fleet::LeavingServer> leaving;
+        for (const auto &each : message.leaving)
+            leaving.push_back({each->id, each->process_start_ms});
+        m_handlers.leaving(leaving);
+    }
     for (const wire::SlotRelease &each : message.ends)
         m_handlers.slotRelease(ip, each);
     for (const wire::SlotRequest &each : message.asks)
--- a/packages/gateway/src/peerchannel.h
+++ b/packages/gateway/src/peerchannel.h
@@ -19,6 +19,8 @@
         std::function<void(const std::string &ip, const wire::SlotResponse &)> slotResponse;
         std::function<void(const std::string &ip, const wire::SlotRelease &)> slotRelease;
         std::function<void(const std::string &ip, const wire::GatewayMessageT &)> tables;
+        /// Called with backend servers that said that they leave.
+        std::function<void(const std::vector<fleet::LeavingServer> &)> leaving;
         /// Called when an instance appears or comes back.
         std::function<void(const std::string &ip)> joined;
         std::function<void(const std::string &ip)> lost;
@@ -42,6 +44,14 @@
     /// Sets the function that returns the table state sent with every heartbeat.
     void setTableState(std::function<wire::TableState()> state) { m_tableState = std::move(state); }
 
+    /// Sets the function that returns the leaving backend servers, for instances that join.
+    void setLeavingServers(std::function<std::vector<fleet::LeavingServer>()> leaving)
+    {
+        m_leavingServers = std::move(leaving);
+    }
+    /// Tells every live instance that backend servers leave.
+    void broadcastLeaving(const std::vector<fleet::LeavingServer> &servers);
+
     /// Returns the number of datagrams received since the last call.
     std::uint64_t takeReceived() { return std::exchange(m_received, 0); }
     /// Returns the time spent on received datagrams, decisions included, since the last call.
@@ -73,6 +83,7 @@
     std::array<char, 65536> m_buffer{};
     std::map<std::string, wire::GatewayMessageT> m_pending;
     std::function<wire::TableState()> m_tableState;
+    std::function<std::vector<fleet::LeavingServer>()> m_leavingServers;
     std::vector<wire::InstanceAddressT> m_newInstances;
     bool m_isFlushPosted = false;
     TimePoint m_started;
--- a/packages/gateway/src/prober.cpp
+++ b/packages/gateway/src/prober.cpp
@@ -32,6 +32,8 @@
         const fleet::ServiceSettings *service = m_context.routes.service(each.service);
         if (!server || !server->entry || !service)
             continue;
+        if (m_slotAllocator.remainingPause(each.service, each.server) > Duration(0))
+            continue;
         probe(each.service, each.server, *server->entry, service->probePath);
     }
 }
@@ -64,6 +66,8 @@
             // The address may belong to another backend server by now.
             if (id && *id != server.id)
                 return;
+            if (saysLeaving(result.response, names))
+                m_context.serverLeaving({server.id, server.processStartMs}, true);
             if (const auto load = header ? m_context.adapter.parseLoad(*header) : std::nullopt)
                 m_slotAllocator.learnLoad(service, key, *load);
         });
--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -70,9 +70,11 @@
     return ask;
 }
 
-wire::SlotRelease encodeRelease(const SlotTicket &ticket, const broker::AttemptEnd &end)
+wire::SlotRelease encodeRelease(const SlotTicket &ticket, const broker::AttemptEnd &end,
+                                const fleet::ServerEntry *leaving = nullptr)
 {
     const broker::LoadReport load = end.load.value_or(broker::LoadReport());
+    const auto pause = std::chrono::duration_cast<milliseconds>(end.pause).count();
     return {ticket.number,
             serviceKey(ticket.service),
             end.server,
@@ -82,7 +84,10 @@
             static_cast<std::uint16_t>(load.slots),
             static_cast<std::uint16_t>(load.slowdown * 100),
             static_cast<std::uint8_t>(end.outcome),
-            end.load.has_value()};
+            end.load.has_value(),
+            leaving != nullptr,
+            static_cast<std::uint32_t>(std::clamp<std::int64_t>(pause, 0, UINT32_MAX)),
+            leaving ? leaving->processStartMs : 0};
 }
 
 } // namespace
@@ -360,15 +365,26 @@
     m_pendingRequests.erase(found);
 }
 
-void SlotAllocator::finishAttempt(const SlotTicket &ticket, broker::AttemptEnd end)
+Duration SlotAllocator::remainingPause(const std::string &service, broker::ServerKey server)
+{
+    return broker::remainingPause(serviceSlots(service).state, instanceKey(m_context.settings.ip),
+                                  server, Clock::now());
+}
+
+void SlotAllocator::finishAttempt(const SlotTicket &ticket, broker::AttemptEnd end,
+                                  const fleet::ServerEntry *leaving)
 {
     end.key = {instanceKey(m_context.settings.ip), ticket.number};
     ServiceSlots &service = serviceSlots(ticket.service);
     const auto remote = m_remoteGrants.find(ticket.number);
-    if (remote != m_remoteGrants.end()) {
-        m_peers.sendSlotRelease(remote->second, encodeRelease(ticket, end));
+    const bool isRemote = remote != m_remoteGrants.end();
+    if (isRemote) {
+        m_peers.sendSlotRelease(remote->second, encodeRelease(ticket, end, leaving));
         m_remoteGrants.erase(remote);
     }
+    // The instance that granted the slot tells the others.
+    if (leaving)
+        m_context.serverLeaving({leaving->id, leaving->processStartMs}, !isRemote);
     // Updates the local state too, for slots that this instance has to grant by itself later.
     broker::recordAttemptEnd(service.state, end, Clock::now());
     processQueue(service);
@@ -519,6 +535,10 @@
         end.load = broker::LoadReport{message.running(), message.waiting(), message.slots(),
                                       message.slowdown_percent() / 100.0};
     }
+    end.pause = milliseconds(message.pause_ms());
+    const fleet::KnownServer *server = findServer(end.server);
+    if (message.is_leaving() && server)
+        m_context.serverLeaving({server->record.id, message.process_start_ms()}, true);
     ++service->load.releases;
     m_receivedReleases.add();
     {
--- a/packages/gateway/src/slotallocator.h
+++ b/packages/gateway/src/slotallocator.h
@@ -43,8 +43,12 @@
     SlotTicket requestSlot(AllocationRequest request, Callback callback);
     /// Withdraws a pending request, or releases the slot if the leader has granted it meanwhile.
     void cancel(const SlotTicket &ticket);
-    /// Records the end of an attempt and releases its slot.
-    void finishAttempt(const SlotTicket &ticket, broker::AttemptEnd end);
+    /// Records the end of an attempt and releases its slot. \a leaving is the server if it said
+    /// that it leaves, otherwise nullptr.
+    void finishAttempt(const SlotTicket &ticket, broker::AttemptEnd end,
+                       const fleet::ServerEntry *leaving = nullptr);
+    /// Returns how long \a server wants no requests from this instance from now on.
+    [[nodiscard]] Duration remainingPause(const std::string &service, broker::ServerKey server);
     /// Records the load report that a probe returned.
     void learnLoad(const std::string &service, broker::ServerKey server,
                    const broker::LoadReport &load);
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t zoneFetchers = 2;
 constexpr Duration zoneFetchDelay = milliseconds(350);
 constexpr Duration fetchTimeout = milliseconds(400);
+/// Leaving servers are collected for this long, because many leave at the same time.
+constexpr Duration leavingBroadcastDelay = milliseconds(150);
 constexpr std::string_view configurationPath = "/configuration";
 constexpr std::string_view serversPath = "/servers";
 
@@ -132,6 +134,29 @@
         fetchConfiguration(ip, tables.configuration_version());
 }
 
+void TableSync::handleLeaving(const std::vector<fleet::LeavingServer> &servers,
+                              std::string_view source, bool tellsOthers)
+{
+    std::vector<fleet::ServerDirectory::Change> changes;
+    for (const fleet::LeavingServer &each : servers) {
+        auto change = m_context.servers.markLeaving(each);
+        if (!change)
+            continue;
+        changes.push_back(std::move(*change));
+        if (!tellsOthers)
+            continue;
+        if (m_newlyLeaving.empty())
+            m_context.timers.callAfter(leavingBroadcastDelay, [this] {
+                m_peers.broadcastLeaving(std::exchange(m_newlyLeaving, {}));
+            });
+        m_newlyLeaving.push_back(each);
+    }
+    if (changes.empty())
+        return;
+    logChanges(changes, source);
+    m_handlers.serversChanged();
+}
+
 void TableSync::logUnusableTables(const std::string &ip, std::string_view reason)
 {
     m_context.log.write(EventLog::Level::Warning, "peer_tables_failed",
--- a/packages/gateway/src/tablesync.h
+++ b/packages/gateway/src/tablesync.h
@@ -27,6 +27,10 @@
 
     [[nodiscard]] wire::TableState state() const;
     void handleTables(const std::string &ip, const wire::GatewayMessageT &message);
+    /// Excludes backend servers that said that they leave. \a source is written to the log. If
+    /// \a tellsOthers is set, the other instances are told.
+    void handleLeaving(const std::vector<fleet::LeavingServer> &servers, std::string_view source,
+                       bool tellsOthers);
     /// True once the configuration and the backend servers are known.
     [[nodiscard]] bool isComplete() const;
     /// Resets the time of the last contact with the reader, after the process was suspended.
@@ -76,6 +80,8 @@
     /// Raw records of the backend servers, sent to peers.
     std::map<std::string, StoredRecord> m_records;
     std::uint64_t m_lastChange = 0;
+    /// Leaving servers that the other instances are not told of yet.
+    std::vector<fleet::LeavingServer> m_newlyLeaving;
     std::uint64_t m_configurationPosition = 0;
     bool m_hasConfigurationPosition = false;
     TimePoint m_started;
--- a/packages/wire/include/apricotrock/gateway_generated.h
+++ b/packages/wire/include/apricotrock/gateway_generated.h
@@ -44,6 +44,10 @@
 struct ServerUpdateBuilder;
 struct ServerUpdateT;
 
+struct LeavingServer;
+struct LeavingServerBuilder;
+struct LeavingServerT;
+
 struct ServerUpdates;
 struct ServerUpdatesBuilder;
 struct ServerUpdatesT;
@@ -254,7 +258,11 @@
   uint16_t slowdown_percent_;
   uint8_t outcome_;
   uint8_t has_load_;
-  int16_t padding0__;
+  uint8_t is_leaving_;
+  int8_t padding0__;
+  uint32_t pause_ms_;
+  int32_t padding1__;
+  uint64_t process_start_ms_;
 
  public:
   struct Traits;
@@ -269,10 +277,15 @@
         slowdown_percent_(0),
         outcome_(0),
         has_load_(0),
-        padding0__(0) {
+        is_leaving_(0),
+        padding0__(0),
+        pause_ms_(0),
+        padding1__(0),
+        process_start_ms_(0) {
     (void)padding0__;
+    (void)padding1__;
   }
-  SlotRelease(uint64_t _ticket, uint64_t _service, uint64_t _server, uint32_t _duration_us, uint16_t _running, uint16_t _waiting, uint16_t _slots, uint16_t _slowdown_percent, uint8_t _outcome, bool _has_load)
+  SlotRelease(uint64_t _ticket, uint64_t _service, uint64_t _server, uint32_t _duration_us, uint16_t _running, uint16_t _waiting, uint16_t _slots, uint16_t _slowdown_percent, uint8_t _outcome, bool _has_load, bool _is_leaving, uint32_t _pause_ms, uint64_t _process_start_ms)
       : ticket_(flatbuffers::EndianScalar(_ticket)),
         service_(flatbuffers::EndianScalar(_service)),
         server_(flatbuffers::EndianScalar(_server)),
@@ -283,8 +296,13 @@
         slowdown_percent_(flatbuffers::EndianScalar(_slowdown_percent)),
         outcome_(flatbuffers::EndianScalar(_outcome)),
         has_load_(flatbuffers::EndianScalar(static_cast<uint8_t>(_has_load))),
-        padding0__(0) {
+        is_leaving_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_leaving))),
+        padding0__(0),
+        pause_ms_(flatbuffers::EndianScalar(_pause_ms)),
+        padding1__(0),
+        process_start_ms_(flatbuffers::EndianScalar(_process_start_ms)) {
     (void)padding0__;
+    (void)padding1__;
   }
   uint64_t ticket() const {
     return flatbuffers::EndianScalar(ticket_);
@@ -316,8 +334,17 @@
   bool has_load() const {
     return flatbuffers::EndianScalar(has_load_) != 0;
   }
+  bool is_leaving() const {
+    return flatbuffers::EndianScalar(is_leaving_) != 0;
+  }
+  uint32_t pause_ms() const {
+    return flatbuffers::EndianScalar(pause_ms_);
+  }
+  uint64_t process_start_ms() const {
+    return flatbuffers::EndianScalar(process_start_ms_);
+  }
 };
-FLATBUFFERS_STRUCT_END(SlotRelease, 40);
+FLATBUFFERS_STRUCT_END(SlotRelease, 56);
 
 struct SlotRelease::Traits {
   using type = SlotRelease;
@@ -902,6 +929,88 @@
 
 flatbuffers::Offset<ServerUpdate> CreateServerUpdate(flatbuffers::FlatBufferBuilder &_fbb, const ServerUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct LeavingServerT : public flatbuffers::NativeTable {
+  typedef LeavingServer TableType;
+  std::string id{};
+  uint64_t process_start_ms = 0;
+};
+
+struct LeavingServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeavingServerT NativeTableType;
+  typedef LeavingServerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_PROCESS_START_MS = 6
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  uint64_t process_start_ms() const {
+    return GetField<uint64_t>(VT_PROCESS_START_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<uint64_t>(verifier, VT_PROCESS_START_MS, 8) &&
+           verifier.EndTable();
+  }
+  LeavingServerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LeavingServerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LeavingServer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeavingServerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LeavingServerBuilder {
+  typedef LeavingServer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(LeavingServer::VT_ID, id);
+  }
+  void add_process_start_ms(uint64_t process_start_ms) {
+    fbb_.AddElement<uint64_t>(LeavingServer::VT_PROCESS_START_MS, process_start_ms, 0);
+  }
+  explicit LeavingServerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeavingServer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeavingServer>(end);
+    fbb_.Required(o, LeavingServer::VT_ID);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeavingServer> CreateLeavingServer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    uint64_t process_start_ms = 0) {
+  LeavingServerBuilder builder_(_fbb);
+  builder_.add_process_start_ms(process_start_ms);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct LeavingServer::Traits {
+  using type = LeavingServer;
+  static auto constexpr Create = CreateLeavingServer;
+};
+
+inline flatbuffers::Offset<LeavingServer> CreateLeavingServerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    uint64_t process_start_ms = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return apricotrock::wire::CreateLeavingServer(
+      _fbb,
+      id__,
+      process_start_ms);
+}
+
+flatbuffers::Offset<LeavingServer> CreateLeavingServer(flatbuffers::FlatBufferBuilder &_fbb, const LeavingServerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ServerUpdatesT : public flatbuffers::NativeTable {
   typedef ServerUpdates TableType;
   std::vector<std::unique_ptr<apricotrock::wire::ServerUpdateT>> updates{};
@@ -984,6 +1093,7 @@
   std::vector<apricotrock::wire::SlotResponse> answers{};
   std::vector<apricotrock::wire::SlotRelease> ends{};
   std::vector<std::unique_ptr<apricotrock::wire::InstanceAddressT>> instances{};
+  std::vector<std::unique_ptr<apricotrock::wire::LeavingServerT>> leaving{};
   std::unique_ptr<apricotrock::wire::ZoneReportT> zone_report{};
   std::vector<uint8_t> packed_updates{};
   uint32_t unpacked_bytes = 0;
@@ -1007,11 +1117,12 @@
     VT_ANSWERS = 12,
     VT_ENDS = 14,
     VT_INSTANCES = 16,
-    VT_ZONE_REPORT = 18,
-    VT_PACKED_UPDATES = 20,
-    VT_UNPACKED_BYTES = 22,
-    VT_UPDATES_FROM = 24,
-    VT_RELAY = 26
+    VT_LEAVING = 18,
+    VT_ZONE_REPORT = 20,
+    VT_PACKED_UPDATES = 22,
+    VT_UNPACKED_BYTES = 24,
+    VT_UPDATES_FROM = 26,
+    VT_RELAY = 28
   };
   const apricotrock::wire::SenderReport *self() const {
     return GetPointer<const apricotrock::wire::SenderReport *>(VT_SELF);
@@ -1034,6 +1145,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::InstanceAddress>> *instances() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::InstanceAddress>> *>(VT_INSTANCES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::LeavingServer>> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::LeavingServer>> *>(VT_LEAVING);
+  }
   const apricotrock::wire::ZoneReport *zone_report() const {
     return GetPointer<const apricotrock::wire::ZoneReport *>(VT_ZONE_REPORT);
   }
@@ -1064,6 +1178,9 @@
            VerifyOffset(verifier, VT_INSTANCES) &&
            verifier.VerifyVector(instances()) &&
            verifier.VerifyVectorOfTables(instances()) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
+           verifier.VerifyVectorOfTables(leaving()) &&
            VerifyOffset(verifier, VT_ZONE_REPORT) &&
            verifier.VerifyTable(zone_report()) &&
            VerifyOffset(verifier, VT_PACKED_UPDATES) &&
@@ -1103,6 +1220,9 @@
   void add_instances(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::InstanceAddress>>> instances) {
     fbb_.AddOffset(GatewayMessage::VT_INSTANCES, instances);
   }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::LeavingServer>>> leaving) {
+    fbb_.AddOffset(GatewayMessage::VT_LEAVING, leaving);
+  }
   void add_zone_report(flatbuffers::Offset<apricotrock::wire::ZoneReport> zone_report) {
     fbb_.AddOffset(GatewayMessage::VT_ZONE_REPORT, zone_report);
   }
@@ -1138,6 +1258,7 @@
     flatbuffers::Offset<flatbuffers::Vector<const apricotrock::wire::SlotResponse *>> answers = 0,
     flatbuffers::Offset<flatbuffers::Vector<const apricotrock::wire::SlotRelease *>> ends = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::InstanceAddress>>> instances = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::LeavingServer>>> leaving = 0,
     flatbuffers::Offset<apricotrock::wire::ZoneReport> zone_report = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_updates = 0,
     uint32_t unpacked_bytes = 0,
@@ -1149,6 +1270,7 @@
   builder_.add_unpacked_bytes(unpacked_bytes);
   builder_.add_packed_updates(packed_updates);
   builder_.add_zone_report(zone_report);
+  builder_.add_leaving(leaving);
   builder_.add_instances(instances);
   builder_.add_ends(ends);
   builder_.add_answers(answers);
@@ -1173,6 +1295,7 @@
     const std::vector<apricotrock::wire::SlotResponse> *answers = nullptr,
     const std::vector<apricotrock::wire::SlotRelease> *ends = nullptr,
     const std::vector<flatbuffers::Offset<apricotrock::wire::InstanceAddress>> *instances = nullptr,
+    const std::vector<flatbuffers::Offset<apricotrock::wire::LeavingServer>> *leaving = nullptr,
     flatbuffers::Offset<apricotrock::wire::ZoneReport> zone_report = 0,
     const std::vector<uint8_t> *packed_updates = nullptr,
     uint32_t unpacked_bytes = 0,
@@ -1182,6 +1305,7 @@
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotResponse>(*answers) : 0;
   auto ends__ = ends ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotRelease>(*ends) : 0;
   auto instances__ = instances ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::InstanceAddress>>(*instances) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::LeavingServer>>(*leaving) : 0;
   auto packed_updates__ = packed_updates ? _fbb.CreateVector<uint8_t>(*packed_updates) : 0;
   return apricotrock::wire::CreateGatewayMessage(
       _fbb,
@@ -1192,6 +1316,7 @@
       answers__,
       ends__,
       instances__,
+      leaving__,
       zone_report,
       packed_updates__,
       unpacked_bytes,
@@ -1382,6 +1507,35 @@
       _value);
 }
 
+inline LeavingServerT *LeavingServer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LeavingServerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LeavingServer::UnPackTo(LeavingServerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = process_start_ms(); _o->process_start_ms = _e; }
+}
+
+inline flatbuffers::Offset<LeavingServer> LeavingServer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeavingServerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLeavingServer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LeavingServer> CreateLeavingServer(flatbuffers::FlatBufferBuilder &_fbb, const LeavingServerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeavingServerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _fbb.CreateString(_o->id);
+  auto _process_start_ms = _o->process_start_ms;
+  return apricotrock::wire::CreateLeavingServer(
+      _fbb,
+      _id,
+      _process_start_ms);
+}
+
 inline ServerUpdatesT::ServerUpdatesT(const ServerUpdatesT &o) {
   updates.reserve(o.updates.size());
   for (const auto &updates_ : o.updates) { updates.emplace_back((updates_) ? new apricotrock::wire::ServerUpdateT(*updates_) : nullptr); }
@@ -1432,6 +1586,8 @@
         relay(o.relay) {
   instances.reserve(o.instances.size());
   for (const auto &instances_ : o.instances) { instances.emplace_back((instances_) ? new apricotrock::wire::InstanceAddressT(*instances_) : nullptr); }
+  leaving.reserve(o.leaving.size());
+  for (const auto &leaving_ : o.leaving) { leaving.emplace_back((leaving_) ? new apricotrock::wire::LeavingServerT(*leaving_) : nullptr); }
 }
 
 inline GatewayMessageT &GatewayMessageT::operator=(GatewayMessageT o) FLATBUFFERS_NOEXCEPT {
@@ -1442,6 +1598,7 @@
   std::swap(answers, o.answers);
   std::swap(ends, o.ends);
   std::swap(instances, o.instances);
+  std::swap(leaving, o.leaving);
   std::swap(zone_report, o.zone_report);
   std::swap(packed_updates, o.packed_updates);
   std::swap(unpacked_bytes, o.unpacked_bytes);
@@ -1466,6 +1623,7 @@
   { auto _e = answers(); if (_e) { _o->answers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->answers[_i] = *_e->Get(_i); } } }
   { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = *_e->Get(_i); } } }
   { auto _e = instances(); if (_e) { _o->instances.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->instances[_i] = std::unique_ptr<apricotrock::wire::InstanceAddressT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = std::unique_ptr<apricotrock::wire::LeavingServerT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = zone_report(); if (_e) _o->zone_report = std::unique_ptr<apricotrock::wire::ZoneReportT>(_e->UnPack(_resolver)); }
   { auto _e = packed_updates(); if (_e) { _o->packed_updates.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->packed_updates.begin()); } }
   { auto _e = unpacked_bytes(); _o->unpacked_bytes = _e; }
@@ -1488,6 +1646,7 @@
   auto _answers = _o->answers.size() ? _fbb.CreateVectorOfStructs(_o->answers) : 0;
   auto _ends = _o->ends.size() ? _fbb.CreateVectorOfStructs(_o->ends) : 0;
   auto _instances = _o->instances.size() ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::InstanceAddress>> (_o->instances.size(), [](size_t i, _VectorArgs *__va) { return CreateInstanceAddress(*__va->__fbb, __va->__o->instances[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _leaving = _o->leaving.size() ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::LeavingServer>> (_o->leaving.size(), [](size_t i, _VectorArgs *__va) { return CreateLeavingServer(*__va->__fbb, __va->__o->leaving[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _zone_report = _o->zone_report ? CreateZoneReport(_fbb, _o->zone_report.get(), _rehasher) : 0;
   auto _packed_updates = _o->packed_updates.size() ? _fbb.CreateVector(_o->packed_updates) : 0;
   auto _unpacked_bytes = _o->unpacked_bytes;
@@ -1502,6 +1661,7 @@
       _answers,
       _ends,
       _instances,
+      _leaving,
       _zone_report,
       _packed_updates,
       _unpacked_bytes,
@@ -1518,7 +1678,7 @@
 }
 
 inline const char *GatewayMessageIdentifier() {
-  return "APRG";
+  return "APR2";
 }
 
 inline bool GatewayMessageBufferHasIdentifier(const void *buf) {
