Loop: Handle pipelined requests, and close no connection with an unread request

Causes: - A connection handled one request at a time. What a caller sent behind it waited unparsed: its time started late and a slow first request delayed all. - When a planned stop closed idle connections, those with a request that had arrived but was not read yet counted as idle, and connections in the backlog of the acceptor were reset. - A call that came to the same server again after others had refused it could reuse the connection of its first attempt. A server that repeats its refusal there, with the same request id, was believed: the caller was told "not run" while the server ran the request.

Change: - HttpExchange is one request with its response. Up to 16 requests and 64 KB of a connection are read ahead, 2,048 requests of all connections. Requests of idempotent routes overlap; any other waits for those before it and holds back those behind it. Times count from the arrival, responses keep the order, what stands behind a closing response reaches no handler. During a stop the responses owed are sent, and nothing more is read. - A stop accepts what the backlog holds, then closes connections that were unused for 300 ms, after the handlers that are queued already. - A repeated attempt at a server uses a new connection.

Ruled out: responses cut off in their head (TruncatedHeadTest, every byte of 12 heads, FIN and reset): the client connection reports them as lost already.

Tests: PipeliningTest, TruncatedHeadTest, ReportedFaultsTest. repeatedRefusalIsNotTakenForAnother and acceptedConnectionIsNotClosedBeforeItsRequestIsRead failed before the change of the client and of the listener.

--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -78,8 +78,8 @@
 
 } // namespace
 
-Call::Call(RequestPath &path, std::shared_ptr<loop::HttpServerConnection> connection)
-    : m_path(path), m_activeCalls(path.m_activeCalls), m_connection(std::move(connection))
+Call::Call(RequestPath &path, std::shared_ptr<loop::HttpExchange> exchange)
+    : m_path(path), m_activeCalls(path.m_activeCalls), m_exchange(std::move(exchange))
 {
     ++*m_activeCalls;
 }
@@ -101,7 +101,7 @@
             .milliseconds("target", m_plan.target - m_plan.arrived);
     });
     const auto self = shared_from_this();
-    m_connection->onCallerDisconnect([weak = weak_from_this()] {
+    m_exchange->onCallerDisconnect([weak = weak_from_this()] {
         if (const auto call = weak.lock())
             call->handleCallerDisconnect();
     });
@@ -239,7 +239,7 @@
 loop::Headers Call::forwardedHeaders(const Attempt &attempt) const
 {
     const HeaderNames &names = m_path.m_context.adapter.headers;
-    const loop::Headers &received = m_connection->request().headers;
+    const loop::Headers &received = m_exchange->request().headers;
     loop::Headers headers;
     headers.reserve(received.size() + 2);
     for (const auto &[name, value] : received) {
@@ -259,7 +259,7 @@
 
 std::string Call::encode(const Attempt &attempt) const
 {
-    const loop::HttpRequest &request = m_connection->request();
+    const loop::HttpRequest &request = m_exchange->request();
     const bool hasBody = loop::findHeader(request.headers, "content-length")
         || loop::findHeader(request.headers, "transfer-encoding");
     return loop::formatRequest(request.method, request.target, forwardedHeaders(attempt),
@@ -269,13 +269,19 @@
 void Call::send(std::size_t index)
 {
     Attempt &attempt = m_attempts[index];
+    // A server may repeat a response to an earlier attempt, which carries the same id, on the
+    // connection of that attempt.
+    const bool wasSentBefore =
+        std::find(m_excludedServers.begin(), m_excludedServers.end(), attempt.key)
+        != m_excludedServers.end();
     m_excludedServers.push_back(attempt.key);
     ++m_attemptsSent;
     attempt.connection = m_path.m_pool.take(
-        attempt.server, m_plan.isIdempotent ? idempotentMaxIdle : nonIdempotentMaxIdle);
+        attempt.server,
+        m_plan.isIdempotent && !wasSentBefore ? idempotentMaxIdle : nonIdempotentMaxIdle);
     const std::string &idHeader = m_path.m_context.adapter.headers.requestId;
     attempt.connection->send(
-        encode(attempt), m_connection->request().method == "HEAD",
+        encode(attempt), m_exchange->request().method == "HEAD",
         std::min<Duration>(connectTimeout, m_plan.deadline - Clock::now()),
         [idHeader, id = m_plan.requestId](const loop::HttpResponse &response) {
             const auto echoed = loop::findHeader(response.headers, idHeader);
@@ -520,8 +526,8 @@
     });
     m_path.countAnswer(response.status, "backend_answer");
     m_path.recordLatency(latency);
-    m_connection->holdLease(response.lease);
-    m_connection->respond(response.status, headers, response.body, false);
+    m_exchange->holdLease(response.lease);
+    m_exchange->respond(response.status, headers, response.body, false);
     writeLog(isOrdinary);
     close();
 }
@@ -545,7 +551,7 @@
                           {m_path.m_context.adapter.headers.requestId, m_plan.requestId}};
     if (status == 503)
         headers.push_back({"Retry-After", formatSeconds(retryAfter)});
-    m_connection->respond(status, headers, reason, false);
+    m_exchange->respond(status, headers, reason, false);
     writeLog(false);
     close();
 }
--- a/packages/gateway/src/call.h
+++ b/packages/gateway/src/call.h
@@ -8,7 +8,7 @@
 class Call : public std::enable_shared_from_this<Call>
 {
 public:
-    Call(RequestPath &path, std::shared_ptr<loop::HttpServerConnection> connection);
+    Call(RequestPath &path, std::shared_ptr<loop::HttpExchange> exchange);
     ~Call();
     Call(const Call &) = delete;
     Call &operator=(const Call &) = delete;
@@ -86,7 +86,7 @@
 
     RequestPath &m_path;
     std::shared_ptr<std::size_t> m_activeCalls;
-    std::shared_ptr<loop::HttpServerConnection> m_connection;
+    std::shared_ptr<loop::HttpExchange> m_exchange;
     Plan m_plan;
     std::vector<Attempt> m_attempts;
     std::vector<broker::ServerKey> m_excludedServers;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -24,6 +24,8 @@
 /// Time before the end of the process in which no request is accepted any more.
 constexpr Duration stopListeningBefore = milliseconds(1100);
 constexpr Duration stopReserve = milliseconds(500);
+/// Connections of callers are closed during a stop when nothing was sent on them for this long.
+constexpr Duration minIdleBeforeClose = milliseconds(300);
 
 Duration readClock(clockid_t id)
 {
@@ -66,12 +68,12 @@
           path(context, slotAllocator, pool), prober(context, slotAllocator, pool),
           tables(context, peers,
                  {[this] { serversChanged(); }, [this] { configurationChanged(); }}),
-          callers(io, timers, [this](const auto &connection) { path.handle(connection); }),
+          callers(io, timers, [this](const auto &exchange) { path.handle(exchange); }),
           metricsListener(io, timers,
-                          [this](const auto &connection) {
-                              connection->respond(200,
-                                                  {{"Content-Type", "text/plain; version=0.0.4"}},
-                                                  context.metrics.text(), true);
+                          [this](const auto &exchange) {
+                              exchange->respond(200,
+                                                {{"Content-Type", "text/plain; version=0.0.4"}},
+                                                context.metrics.text(), true);
                           }),
           loopDelay(context.metrics.histogram("apricotrock_event_loop_delay_seconds",
                                               "Delay of a periodic timer of the event loop."))
@@ -163,7 +165,9 @@
 
     void finishStop(const std::function<void()> &finished, TimePoint end)
     {
-        const bool isIdle = callers.busyConnections() == 0 && path.activeCalls() == 0;
+        // A caller may be about to send a request on a connection that it has just opened.
+        callers.closeIdleConnections(minIdleBeforeClose);
+        const bool isIdle = callers.connections() == 0 && path.activeCalls() == 0;
         if (!isIdle && Clock::now() < end) {
             context.timers.callAfter(milliseconds(20),
                                      [this, finished, end] { finishStop(finished, end); });
@@ -215,6 +219,8 @@
             line.number("status", status).text("reason", text);
         });
     });
+    self.callers.setOverlapFilter(
+        [&self](const loop::HttpRequest &request) { return self.path.mayOverlap(request); });
     self.peers.setTableState([&self] { return self.tables.state(); });
     self.peers.setLeavingServers([&self] { return self.context.servers.leavingServers(); });
     auto result = self.peers.start();
@@ -270,7 +276,6 @@
     self.path.stopBy(end);
     self.context.timers.callAt(end - stopListeningBefore, [&self, finished, end] {
         self.callers.stopAccepting();
-        self.callers.closeIdleConnections();
         self.finishStop(finished, end);
     });
 }
--- a/packages/gateway/src/requestpath.cpp
+++ b/packages/gateway/src/requestpath.cpp
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 
 /// Network time that a caller sees in addition to the work of the instance: two round trips of 8 ms
-/// each way, one of them for the connection.
+/// each way, one of them for the exchange.
 constexpr Duration callerRoundTrip = milliseconds(34);
 /// The final response is sent this long before the caller stops waiting.
 constexpr Duration answerMargin = milliseconds(10);
@@ -71,17 +71,17 @@
         .add(latency);
 }
 
-void RequestPath::refuse(const std::shared_ptr<loop::HttpServerConnection> &connection, int status,
+void RequestPath::refuse(const std::shared_ptr<loop::HttpExchange> &exchange, int status,
                          std::string_view reason, std::string_view text)
 {
     countAnswer(status, reason);
     const auto id =
-        loop::findHeader(connection->request().headers, m_context.adapter.headers.requestId);
+        loop::findHeader(exchange->request().headers, m_context.adapter.headers.requestId);
     m_context.log.write(EventLog::Level::Warning, "request_refused", [&](LogLine &line) {
         line.text("request", id.value_or(""))
             .number("status", status)
             .text("reason", reason)
-            .text("path", connection->request().path())
+            .text("path", exchange->request().path())
             .number("configuration_version",
                     m_context.routes.configuration()
                         ? static_cast<std::int64_t>(m_context.routes.configuration()->version)
@@ -94,38 +94,48 @@
         headers.push_back(
             {"Retry-After",
              std::to_string(std::chrono::duration<double>(notReadyRetryAfter).count())});
-    connection->respond(status, headers, text, false);
+    exchange->respond(status, headers, text, false);
 }
 
-void RequestPath::handle(const std::shared_ptr<loop::HttpServerConnection> &connection)
+const fleet::Route *RequestPath::findRoute(const loop::HttpRequest &request) const
 {
-    const loop::HttpRequest &request = connection->request();
+    const std::string_view host = loop::findHeader(request.headers, "host").value_or("");
+    const fleet::Route *route =
+        m_context.routes.find(host.substr(0, host.find(':')), request.path());
+    return route ? route : m_context.routes.find(host, request.path());
+}
+
+bool RequestPath::mayOverlap(const loop::HttpRequest &request) const
+{
+    const fleet::Route *route = findRoute(request);
+    return route && route->isIdempotent;
+}
+
+void RequestPath::handle(const std::shared_ptr<loop::HttpExchange> &exchange)
+{
+    const loop::HttpRequest &request = exchange->request();
     const HeaderNames &names = m_context.adapter.headers;
     const auto id = loop::findHeader(request.headers, names.requestId);
     if (!id || id->empty() || loop::countHeader(request.headers, names.requestId) != 1) {
-        refuse(connection, 400, "request_id_missing", "the request needs one request id");
+        refuse(exchange, 400, "request_id_missing", "the request needs one request id");
         return;
     }
     if (loop::countHeader(request.headers, "host") != 1) {
-        refuse(connection, 400, "host_missing", "the request needs one Host header");
+        refuse(exchange, 400, "host_missing", "the request needs one Host header");
         return;
     }
     const fleet::Configuration *configuration = m_context.routes.configuration();
     if (!configuration) {
-        refuse(connection, 503, "configuration_unknown",
+        refuse(exchange, 503, "configuration_unknown",
                "this instance does not know the configuration yet");
         return;
     }
-    const std::string_view host = *loop::findHeader(request.headers, "host");
-    const fleet::Route *route =
-        m_context.routes.find(host.substr(0, host.find(':')), request.path());
-    if (!route)
-        route = m_context.routes.find(host, request.path());
+    const fleet::Route *route = findRoute(request);
     if (!route) {
-        refuse(connection, 404, "route_unknown", "no route matches host and path");
+        refuse(exchange, 404, "route_unknown", "no route matches host and path");
         return;
     }
-    const TimePoint now = connection->requestReceivedAt();
+    const TimePoint now = exchange->requestReceivedAt();
     Call::Plan plan;
     plan.requestId = std::string(*id);
     const double random = std::uniform_real_distribution<double>(0, 1)(m_random);
@@ -150,10 +160,10 @@
     plan.target = now + route->objective - waited - callerRoundTrip;
     plan.deadline = now + std::min(route->timeout, callerTimeout - answerMargin);
     if (m_stopBy && plan.deadline > *m_stopBy) {
-        refuse(connection, 503, "stopping", "this instance stops before the request could end");
+        refuse(exchange, 503, "stopping", "this instance stops before the request could end");
         return;
     }
-    std::make_shared<Call>(*this, connection)->start(std::move(plan));
+    std::make_shared<Call>(*this, exchange)->start(std::move(plan));
 }
 
 } // namespace apricotrock::gateway
--- a/packages/gateway/src/requestpath.h
+++ b/packages/gateway/src/requestpath.h
@@ -15,7 +15,9 @@
 public:
     RequestPath(Context &context, SlotAllocator &slotAllocator, BackendPool &pool);
 
-    void handle(const std::shared_ptr<loop::HttpServerConnection> &connection);
+    void handle(const std::shared_ptr<loop::HttpExchange> &exchange);
+    /// True for requests that may be handled at the same time as others of their connection.
+    [[nodiscard]] bool mayOverlap(const loop::HttpRequest &request) const;
     /// Requests that can't be finished by \a deadline are refused from now on.
     void stopBy(TimePoint deadline) { m_stopBy = deadline; }
     [[nodiscard]] std::size_t activeCalls() const { return *m_activeCalls; }
@@ -30,7 +32,8 @@
         Duration longestDeadline{};
     };
 
-    void refuse(const std::shared_ptr<loop::HttpServerConnection> &connection, int status,
+    [[nodiscard]] const fleet::Route *findRoute(const loop::HttpRequest &request) const;
+    void refuse(const std::shared_ptr<loop::HttpExchange> &exchange, int status,
                 std::string_view reason, std::string_view text);
     void countAnswer(int status, std::string_view reason);
     void countHedgeRefusal(std::string_view reason);
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -264,15 +264,15 @@
         });
 }
 
-void TableSync::handlePeerRequest(const std::shared_ptr<loop::HttpServerConnection> &connection)
+void TableSync::handlePeerRequest(const std::shared_ptr<loop::HttpExchange> &exchange)
 {
-    const std::string_view path = connection->request().path();
+    const std::string_view path = exchange->request().path();
     if (path == configurationPath && m_context.routes.configuration()) {
-        connection->respond(200, {}, m_context.configurationText, true);
+        exchange->respond(200, {}, m_context.configurationText, true);
         return;
     }
     if (path != serversPath || !m_context.servers.hasSnapshot()) {
-        connection->respond(404, {}, "not known here", true);
+        exchange->respond(404, {}, "not known here", true);
         return;
     }
     wire::GatewayMessageT message;
@@ -285,7 +285,7 @@
     packUpdates(updates, message);
     flatbuffers::FlatBufferBuilder builder(4096);
     builder.Finish(wire::GatewayMessage::Pack(builder, &message), wire::GatewayMessageIdentifier());
-    connection->respond(
+    exchange->respond(
         200, {}, {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()},
         true);
 }
--- a/packages/gateway/src/tablesync.cpp
+++ b/packages/gateway/src/tablesync.cpp
@@ -45,7 +45,7 @@
 TableSync::TableSync(Context &context, PeerChannel &peers, Handlers handlers)
     : m_context(context), m_peers(peers), m_handlers(std::move(handlers)),
       m_listener(context.io, context.timers,
-                 [this](const auto &connection) { handlePeerRequest(connection); })
+                 [this](const auto &exchange) { handlePeerRequest(exchange); })
 {
     m_context.metrics.gauge("apricotrock_configuration_version", "Version in force.", {}, [this] {
         const fleet::Configuration *configuration = m_context.routes.configuration();
--- a/packages/gateway/src/tablesync.h
+++ b/packages/gateway/src/tablesync.h
@@ -67,7 +67,7 @@
     /// True if this instance fetches new configurations for its availability zone.
     [[nodiscard]] bool isZoneFetcher() const;
     void fetchTables(const std::string &ip, bool wantsServers);
-    void handlePeerRequest(const std::shared_ptr<loop::HttpServerConnection> &connection);
+    void handlePeerRequest(const std::shared_ptr<loop::HttpExchange> &exchange);
     [[nodiscard]] bool isReader() const;
     [[nodiscard]] Duration shortestReadInterval() const;
     void logChanges(const std::vector<fleet::ServerDirectory::Change> &changes,
--- a/packages/loop/include/apricotrock/loop.h
+++ b/packages/loop/include/apricotrock/loop.h
@@ -4,6 +4,7 @@
 
 #include <asio.hpp>
 
+#include <deque>
 #include <unordered_set>
 
 /// Event loop of a single-threaded program: timers, structured log, HTTP/1.1 client and server.
@@ -194,71 +195,127 @@
     Duration idleTimeout = std::chrono::seconds(15);
 };
 
+class HttpExchange;
 class HttpListener;
 class HttpServerConnection;
 
 /// The open connections of a listener. Shared, because connections held by event loop handlers can
 /// outlive the listener when the process ends.
-using ConnectionSet = std::unordered_set<HttpServerConnection *>;
+struct ConnectionSet
+{
+    std::unordered_set<HttpServerConnection *> open;
+    /// Requests of all connections that are read ahead of the oldest one of their connection.
+    std::size_t requestsAhead = 0;
+};
 
-/// Server side of a caller's connection; it handles one request at a time.
-class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>
+/// One request of a caller and its response.
+class HttpExchange : public std::enable_shared_from_this<HttpExchange>
 {
 public:
-    HttpServerConnection(HttpListener &listener, asio::ip::tcp::socket socket);
-    ~HttpServerConnection();
-    HttpServerConnection(const HttpServerConnection &) = delete;
-    HttpServerConnection &operator=(const HttpServerConnection &) = delete;
+    HttpExchange(std::shared_ptr<HttpServerConnection> connection, HttpRequest request,
+                 TimePoint requestReceivedAt);
 
-    /// Responds to the current request. \a contentHeaders are sent as given; the Content-Length and
-    /// Connection headers are added.
+    /// Responds to the request, after the requests before it on the connection have been responded
+    /// to. \a contentHeaders are sent as given; the Content-Length and Connection headers are
+    /// added.
     void respond(int status, const Headers &contentHeaders, std::string_view body, bool close);
     /// Keeps \a lease until the response is written or the connection is closed.
     void holdLease(std::shared_ptr<ByteLease> lease) { m_lease = std::move(lease); }
     /// Closes the connection without a response.
-    void abort() { close(); }
-    /// Calls \a callback if the connection is closed before the response is sent.
+    void abort();
+    /// Calls \a callback if the connection is closed before the response is given.
     void onCallerDisconnect(std::function<void()> callback)
     {
         m_onCallerDisconnect = std::move(callback);
     }
-    [[nodiscard]] bool isOpen() const { return !m_isClosed; }
-    [[nodiscard]] const HttpRequest &request() const;
+    [[nodiscard]] bool isOpen() const;
     [[nodiscard]] std::string remoteAddress() const;
-    /// When the last byte of the current request was received.
+    [[nodiscard]] const HttpRequest &request() const { return m_request; }
+    /// When the last byte of the request was received.
     [[nodiscard]] TimePoint requestReceivedAt() const { return m_requestReceivedAt; }
 
 private:
+    friend class HttpServerConnection;
+
+    std::shared_ptr<HttpServerConnection> m_connection;
+    HttpRequest m_request;
+    TimePoint m_requestReceivedAt;
+    /// The formatted response; empty until there is one.
+    std::string m_response;
+    std::shared_ptr<ByteLease> m_lease;
+    std::function<void()> m_onCallerDisconnect;
+    bool m_isDispatched = false;
+    bool m_hasResponse = false;
+    /// The connection is closed after this response, whatever follows.
+    bool m_closes = false;
+};
+
+/// Server side of a caller's connection.
+///
+/// Callers may send further requests before the first one has been responded to. Up to a limit they
+/// are read ahead, and their times count from their arrival. Those that the listener allows to
+/// overlap are handled at the same time; any other request is handled when it is the oldest one,
+/// and those behind it wait for its response. Responses are written in the order of the requests.
+class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>
+{
+public:
+    HttpServerConnection(HttpListener &listener, asio::ip::tcp::socket socket);
+    ~HttpServerConnection();
+    HttpServerConnection(const HttpServerConnection &) = delete;
+    HttpServerConnection &operator=(const HttpServerConnection &) = delete;
+
+    [[nodiscard]] bool isOpen() const { return !m_isClosed; }
+    [[nodiscard]] std::string remoteAddress() const;
+
+private:
+    friend class HttpExchange;
     friend class HttpListener;
     struct Parser;
 
     void start();
     void read();
     void parse();
-    void dispatchRequest();
+    void addRequest();
+    /// Passes requests to the handler that need not wait for those before them.
+    void dispatch();
+    [[nodiscard]] bool mayDispatch(std::size_t index) const;
     void refuse(int status, std::string_view text);
-    void write(std::string data, bool close);
+    /// Adds the response of \a exchange and writes all that are due.
+    void addResponse(HttpExchange &exchange, int status, const Headers &contentHeaders,
+                     std::string_view body, bool close);
+    void writeResponses();
     void handleWritten();
     void startGracefulClose();
+    /// Tells the handlers of unanswered requests that the caller gets no response.
+    void dropRequests();
     void close();
     void checkTimeout(TimePoint now);
+    /// True while a request has no complete response.
+    [[nodiscard]] bool isBusy() const { return !m_exchanges.empty() || m_isWriting; }
+    /// True if nothing was received or sent for \a length and nothing waits to be read.
+    [[nodiscard]] bool isIdleFor(Duration length, TimePoint now) const;
 
     HttpListener &m_listener;
-    std::shared_ptr<ConnectionSet> m_openConnections;
+    std::shared_ptr<ConnectionSet> m_connections;
     asio::ip::tcp::socket m_socket;
     std::unique_ptr<Parser> m_parser;
     std::string m_input;
     std::string m_output;
     std::array<char, 8192> m_buffer{};
-    std::shared_ptr<ByteLease> m_lease;
-    std::function<void()> m_onCallerDisconnect;
-    TimePoint m_requestReceivedAt;
+    /// Requests without a written response, oldest first.
+    std::deque<std::shared_ptr<HttpExchange>> m_exchanges;
+    /// Bytes of the bodies and headers of m_exchanges.
+    std::size_t m_requestBytes = 0;
+    std::vector<std::shared_ptr<ByteLease>> m_leases;
     TimePoint m_timeoutStart;
-    bool m_isHandlingRequest = false;
+    /// When the last bytes were received.
+    TimePoint m_lastRead;
     bool m_isWriting = false;
     bool m_isReading = false;
     bool m_isClosed = false;
     bool m_closeAfterWrite = false;
+    /// No request after those in m_exchanges is read.
+    bool m_isInputEnded = false;
     bool m_isLingering = false;
 };
 
@@ -266,32 +323,41 @@
 class HttpListener
 {
 public:
-    using Handler = std::function<void(const std::shared_ptr<HttpServerConnection> &)>;
+    using Handler = std::function<void(const std::shared_ptr<HttpExchange> &)>;
+    using OverlapFilter = std::function<bool(const HttpRequest &)>;
     using RefusalCallback = std::function<void(int status, std::string_view text)>;
 
     HttpListener(asio::io_context &context, LoopTimers &timers, Handler handler);
     /// Starts to listen.
     Result<void> listen(const Endpoint &address);
     void setLimits(const ServerLimits &limits) { m_limits = limits; }
+    /// Sets which requests may be handled at the same time as others of their connection; none by
+    /// default. They must be safe to repeat: the caller sends them again if an earlier response
+    /// closes the connection.
+    void setOverlapFilter(OverlapFilter filter) { m_mayOverlap = std::move(filter); }
     /// Sets a callback for requests that are rejected while being parsed.
     void onRefusal(RefusalCallback callback) { m_onRefusal = std::move(callback); }
     /// Closes each connection after its next response.
     void closeAfterResponses() { m_closeAfterResponses = true; }
-    /// Closes connections that have no request in progress.
-    void closeIdleConnections();
+    /// Closes connections that have no request in progress, were not used for \a minIdle and have
+    /// received nothing that is not read yet.
+    void closeIdleConnections(Duration minIdle);
+    /// Accepts the connections that callers have opened already, and no further ones.
     void stopAccepting();
-    [[nodiscard]] std::size_t connections() const { return m_connections->size(); }
+    [[nodiscard]] std::size_t connections() const { return m_connections->open.size(); }
     [[nodiscard]] std::size_t busyConnections() const;
 
 private:
     friend class HttpServerConnection;
 
     void accept();
+    void add(asio::ip::tcp::socket socket);
 
     asio::io_context &m_context;
     asio::ip::tcp::acceptor m_acceptor;
     Handler m_handler;
     RefusalCallback m_onRefusal;
+    OverlapFilter m_mayOverlap;
     ServerLimits m_limits;
     std::shared_ptr<ConnectionSet> m_connections = std::make_shared<ConnectionSet>();
     bool m_closeAfterResponses = false;
--- a/packages/loop/src/httplistener.cpp
+++ b/packages/loop/src/httplistener.cpp
@@ -18,7 +18,8 @@
 {
     timers.callEvery(timeoutCheckInterval, [this] {
         const TimePoint now = Clock::now();
-        const std::vector<HttpServerConnection *> all(m_connections->begin(), m_connections->end());
+        const std::vector<HttpServerConnection *> all(m_connections->open.begin(),
+                                                      m_connections->open.end());
         for (HttpServerConnection *each : all) {
             // The check may close the connection, which may release the last reference to it.
             const auto held = each->weak_from_this().lock();
@@ -61,32 +62,48 @@
             });
             return;
         }
-        std::make_shared<HttpServerConnection>(*this, std::move(socket))->start();
+        add(std::move(socket));
         accept();
     });
 }
 
+void HttpListener::add(asio::ip::tcp::socket socket)
+{
+    std::make_shared<HttpServerConnection>(*this, std::move(socket))->start();
+}
+
 void HttpListener::stopAccepting()
 {
-    std::error_code ignored;
-    m_acceptor.close(ignored);
+    // Closing the acceptor would reset connections that it holds but has not handed over.
+    std::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (!error)
+            add(std::move(socket));
+    }
+    m_acceptor.close(error);
 }
 
-void HttpListener::closeIdleConnections()
+void HttpListener::closeIdleConnections(Duration minIdle)
 {
-    const std::vector<HttpServerConnection *> all(m_connections->begin(), m_connections->end());
-    for (HttpServerConnection *each : all) {
-        const auto held = each->weak_from_this().lock();
-        if (held && !held->m_isHandlingRequest && !held->m_isWriting && held->m_input.empty())
-            held->startGracefulClose();
+    // Bytes that were read already may belong to a handler in the queue of the event loop; it runs
+    // first.
+    for (HttpServerConnection *each : m_connections->open) {
+        asio::post(m_context, [weak = each->weak_from_this(), minIdle] {
+            const auto held = weak.lock();
+            if (held && held->isIdleFor(minIdle, Clock::now()))
+                held->startGracefulClose();
+        });
     }
 }
 
 std::size_t HttpListener::busyConnections() const
 {
     std::size_t count = 0;
-    for (const HttpServerConnection *each : *m_connections) {
-        if (each->m_isHandlingRequest || each->m_isWriting)
+    for (const HttpServerConnection *each : m_connections->open) {
+        if (each->isBusy())
             ++count;
     }
     return count;
--- a/packages/loop/src/httpserverconnection.cpp
+++ b/packages/loop/src/httpserverconnection.cpp
@@ -1,5 +1,6 @@
 #include "messageparser.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace apricotrock::loop {
@@ -9,32 +10,69 @@
 /// How long a closing connection is still read: closing with unread bytes would send a TCP reset,
 /// which can discard the last response.
 constexpr Duration lingerTime = std::chrono::seconds(1);
-/// Maximum number of bytes of pipelined requests that are buffered while a request is handled.
+/// Maximum number of unparsed bytes that are buffered for one connection.
 constexpr std::size_t maxReadAhead = std::size_t(64) * 1024;
+/// Maximum number of requests of one connection that have no response yet.
+constexpr std::size_t maxPipelinedRequests = 16;
+/// Maximum size of these requests. One request alone may be larger.
+constexpr std::size_t maxPipelinedBytes = std::size_t(64) * 1024;
+/// Maximum number of requests of all connections that are behind another one.
+constexpr std::size_t maxRequestsAhead = 2048;
+
+std::size_t sizeOf(const HttpRequest &request)
+{
+    std::size_t size = request.target.size() + request.body.size();
+    for (const auto &[name, value] : request.headers)
+        size += name.size() + value.size();
+    return size;
+}
 
 } // namespace
 
 struct HttpServerConnection::Parser : MessageParser
 {
     Parser() : MessageParser(HTTP_REQUEST) { }
-    HttpRequest request;
 };
 
-HttpServerConnection::HttpServerConnection(HttpListener &listener, asio::ip::tcp::socket socket)
-    : m_listener(listener), m_openConnections(listener.m_connections), m_socket(std::move(socket)),
-      m_parser(std::make_unique<Parser>()), m_timeoutStart(Clock::now())
+HttpExchange::HttpExchange(std::shared_ptr<HttpServerConnection> connection, HttpRequest request,
+                           TimePoint requestReceivedAt)
+    : m_connection(std::move(connection)), m_request(std::move(request)),
+      m_requestReceivedAt(requestReceivedAt)
+{ }
+
+void HttpExchange::respond(int status, const Headers &contentHeaders, std::string_view body,
+                           bool close)
 {
-    m_openConnections->insert(this);
+    if (m_hasResponse || !isOpen())
+        return;
+    m_connection->addResponse(*this, status, contentHeaders, body, close);
 }
 
-HttpServerConnection::~HttpServerConnection()
+void HttpExchange::abort()
+{
+    m_connection->close();
+}
+
+bool HttpExchange::isOpen() const
 {
-    m_openConnections->erase(this);
+    return m_connection->isOpen();
 }
 
-const HttpRequest &HttpServerConnection::request() const
+std::string HttpExchange::remoteAddress() const
 {
-    return m_parser->request;
+    return m_connection->remoteAddress();
+}
+
+HttpServerConnection::HttpServerConnection(HttpListener &listener, asio::ip::tcp::socket socket)
+    : m_listener(listener), m_connections(listener.m_connections), m_socket(std::move(socket)),
+      m_parser(std::make_unique<Parser>()), m_timeoutStart(Clock::now())
+{
+    m_connections->open.insert(this);
+}
+
+HttpServerConnection::~HttpServerConnection()
+{
+    m_connections->open.erase(this);
 }
 
 std::string HttpServerConnection::remoteAddress() const
@@ -69,6 +107,7 @@
                                  }
                                  if (!self->m_isLingering) {
                                      self->m_input.append(self->m_buffer.data(), count);
+                                     self->m_lastRead = Clock::now();
                                      self->parse();
                                  }
                                  self->read();
@@ -77,29 +116,39 @@
 
 void HttpServerConnection::parse()
 {
-    if (m_isHandlingRequest || m_isWriting || m_closeAfterWrite || m_input.empty())
-        return;
-    Parser &parser = *m_parser;
-    if (!parser.hasStarted)
-        m_timeoutStart = Clock::now();
-    parser.maxHeaderBytes = m_listener.m_limits.maxHeaderBytes;
-    parser.maxBodyBytes = m_listener.m_limits.maxBodyBytes;
-    const std::size_t used = parser.feed(m_input.data(), m_input.size());
-    m_input.erase(0, used);
-    if (parser.isHeaderTooLarge)
-        refuse(431, "the header is larger than the limit");
-    else if (parser.isBodyTooLarge)
-        refuse(413, "the body is larger than the limit");
-    else if (!parser.errorText.empty())
-        refuse(400, parser.errorText);
-    else if (parser.isComplete)
-        dispatchRequest();
-}
-
-void HttpServerConnection::dispatchRequest()
+    while (!m_input.empty() && !m_isClosed && !m_isInputEnded && !m_isLingering) {
+        const bool isFull = m_exchanges.size() >= maxPipelinedRequests
+            || m_requestBytes > maxPipelinedBytes
+            || m_connections->requestsAhead >= maxRequestsAhead;
+        // Requests that arrive while the listener closes its connections are left to the next
+        // connection of the caller.
+        const bool isClosing = m_listener.m_closeAfterResponses;
+        if (!m_exchanges.empty() && (isFull || isClosing))
+            return;
+        Parser &parser = *m_parser;
+        if (!parser.hasStarted)
+            m_timeoutStart = Clock::now();
+        parser.maxHeaderBytes = m_listener.m_limits.maxHeaderBytes;
+        parser.maxBodyBytes = m_listener.m_limits.maxBodyBytes;
+        const std::size_t used = parser.feed(m_input.data(), m_input.size());
+        m_input.erase(0, used);
+        if (parser.isHeaderTooLarge)
+            refuse(431, "the header is larger than the limit");
+        else if (parser.isBodyTooLarge)
+            refuse(413, "the body is larger than the limit");
+        else if (!parser.errorText.empty())
+            refuse(400, parser.errorText);
+        else if (parser.isComplete)
+            addRequest();
+        else
+            return;
+    }
+}
+
+void HttpServerConnection::addRequest()
 {
     Parser &parser = *m_parser;
-    HttpRequest &request = parser.request;
+    HttpRequest request;
     request.method = http_method_str(static_cast<http_method>(parser.parser.method));
     request.target = std::move(parser.target);
     request.headers = std::move(parser.headers);
@@ -110,47 +159,96 @@
         refuse(400, "the request target must be a path");
         return;
     }
-    m_isHandlingRequest = true;
-    m_requestReceivedAt = Clock::now();
-    m_onCallerDisconnect = nullptr;
-    m_listener.m_handler(shared_from_this());
+    m_requestBytes += sizeOf(request);
+    m_isInputEnded = !request.keepAlive;
+    m_connections->requestsAhead += m_exchanges.empty() ? 0 : 1;
+    m_exchanges.push_back(
+        std::make_shared<HttpExchange>(shared_from_this(), std::move(request), m_lastRead));
+    dispatch();
+}
+
+bool HttpServerConnection::mayDispatch(std::size_t index) const
+{
+    if (index == 0)
+        return true;
+    const auto mayOverlap = [this](const std::shared_ptr<HttpExchange> &each) {
+        return m_listener.m_mayOverlap && m_listener.m_mayOverlap(each->request());
+    };
+    // The one before was dispatched ahead of others itself, or is the oldest one.
+    const HttpExchange &before = *m_exchanges[index - 1];
+    return before.m_isDispatched && !before.m_closes && mayOverlap(m_exchanges[index - 1])
+        && mayOverlap(m_exchanges[index]);
+}
+
+void HttpServerConnection::dispatch()
+{
+    while (!m_closeAfterWrite && !m_isClosed) {
+        const auto next = std::find_if(m_exchanges.begin(), m_exchanges.end(),
+                                       [](const auto &each) { return !each->m_isDispatched; });
+        if (next == m_exchanges.end()
+            || !mayDispatch(static_cast<std::size_t>(next - m_exchanges.begin())))
+            return;
+        // The handler may respond, which removes requests.
+        const std::shared_ptr<HttpExchange> exchange = *next;
+        exchange->m_isDispatched = true;
+        m_listener.m_handler(exchange);
+    }
 }
 
 void HttpServerConnection::refuse(int status, std::string_view text)
 {
     if (m_listener.m_onRefusal)
         m_listener.m_onRefusal(status, text);
-    m_isHandlingRequest = true;
-    respond(status, {{"Content-Type", "text/plain"}}, text, true);
+    m_isInputEnded = true;
+    m_connections->requestsAhead += m_exchanges.empty() ? 0 : 1;
+    m_exchanges.push_back(
+        std::make_shared<HttpExchange>(shared_from_this(), HttpRequest(), m_lastRead));
+    const std::shared_ptr<HttpExchange> exchange = m_exchanges.back();
+    exchange->m_isDispatched = true;
+    exchange->respond(status, {{"Content-Type", "text/plain"}}, text, true);
 }
 
-void HttpServerConnection::respond(int status, const Headers &contentHeaders, std::string_view body,
-                                   bool close)
+void HttpServerConnection::addResponse(HttpExchange &exchange, int status,
+                                       const Headers &contentHeaders, std::string_view body,
+                                       bool close)
 {
-    if (m_isClosed || !m_isHandlingRequest)
-        return;
-    m_isHandlingRequest = false;
-    m_onCallerDisconnect = nullptr;
-    const bool closes = close || !m_parser->request.keepAlive || m_listener.m_closeAfterResponses;
-    std::string data;
+    std::string &data = exchange.m_response;
     data.reserve(256 + body.size());
     fmt::format_to(std::back_inserter(data), "HTTP/1.1 {} {}\r\n", status, reasonPhrase(status));
     for (const auto &[name, value] : contentHeaders)
         data.append(name).append(": ").append(value).append("\r\n");
-    fmt::format_to(std::back_inserter(data), "Content-Length: {}\r\n", body.size());
-    if (closes)
-        data.append("Connection: close\r\n");
-    data.append("\r\n");
-    if (m_parser->request.method != "HEAD")
+    fmt::format_to(std::back_inserter(data), "Content-Length: {}\r\n\r\n", body.size());
+    if (exchange.m_request.method != "HEAD")
         data.append(body);
-    write(std::move(data), closes);
+    exchange.m_hasResponse = true;
+    exchange.m_closes = close || !exchange.m_request.keepAlive;
+    exchange.m_onCallerDisconnect = nullptr;
+    writeResponses();
 }
 
-void HttpServerConnection::write(std::string data, bool close)
+void HttpServerConnection::writeResponses()
 {
-    m_output = std::move(data);
+    if (m_isClosed || m_isWriting || m_closeAfterWrite)
+        return;
+    while (!m_exchanges.empty() && m_exchanges.front()->m_hasResponse && !m_closeAfterWrite) {
+        const std::shared_ptr<HttpExchange> exchange = m_exchanges.front();
+        m_exchanges.pop_front();
+        m_connections->requestsAhead -= m_exchanges.empty() ? 0 : 1;
+        m_requestBytes -= sizeOf(exchange->m_request);
+        // A listener that closes its connections first sends the responses to the requests that
+        // were passed on to the handler.
+        const bool isOwed = !m_exchanges.empty() && m_exchanges.front()->m_isDispatched;
+        m_closeAfterWrite = exchange->m_closes || (m_listener.m_closeAfterResponses && !isOwed);
+        if (m_closeAfterWrite)
+            exchange->m_response.insert(exchange->m_response.find("\r\n") + 2,
+                                        "Connection: close\r\n");
+        m_output.append(exchange->m_response);
+        if (exchange->m_lease)
+            m_leases.push_back(std::move(exchange->m_lease));
+    }
+    if (m_output.empty())
+        return;
     m_isWriting = true;
-    m_closeAfterWrite = close;
     asio::async_write(m_socket, asio::buffer(m_output),
                       [self = shared_from_this()](std::error_code error, std::size_t) {
                           self->m_isWriting = false;
@@ -167,12 +265,14 @@
 {
     m_output.clear();
     m_output.shrink_to_fit();
-    m_lease.reset();
+    m_leases.clear();
     m_timeoutStart = Clock::now();
     if (m_closeAfterWrite) {
         startGracefulClose();
         return;
     }
+    writeResponses();
+    dispatch();
     parse();
     read();
 }
@@ -181,27 +281,48 @@
 {
     m_isLingering = true;
     m_input.clear();
+    // Requests behind a response that closes the connection are not passed on; the caller sends
+    // them again. Those that were passed on can be repeated and are ended.
+    dropRequests();
     std::error_code ignored;
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     read();
 }
 
+void HttpServerConnection::dropRequests()
+{
+    const auto unanswered = std::exchange(m_exchanges, {});
+    m_connections->requestsAhead -= unanswered.empty() ? 0 : unanswered.size() - 1;
+    for (const auto &each : unanswered) {
+        if (const auto onDisconnect = std::exchange(each->m_onCallerDisconnect, nullptr))
+            onDisconnect();
+    }
+}
+
 void HttpServerConnection::close()
 {
     if (m_isClosed)
         return;
     m_isClosed = true;
-    m_lease.reset();
+    m_leases.clear();
     std::error_code ignored;
     m_socket.close(ignored);
-    m_openConnections->erase(this);
-    if (const auto onDisconnect = std::exchange(m_onCallerDisconnect, nullptr))
-        onDisconnect();
+    m_connections->open.erase(this);
+    dropRequests();
+}
+
+bool HttpServerConnection::isIdleFor(Duration length, TimePoint now) const
+{
+    if (isBusy() || m_isLingering || !m_input.empty() || m_parser->hasStarted
+        || now - std::max(m_timeoutStart, m_lastRead) < length)
+        return false;
+    std::error_code error;
+    return m_socket.available(error) == 0 || error;
 }
 
 void HttpServerConnection::checkTimeout(TimePoint now)
 {
-    if (m_isHandlingRequest || m_isClosed)
+    if (!m_exchanges.empty() || m_isClosed)
         return;
     const Duration waited = now - m_timeoutStart;
     if (m_isLingering) {
