Gateway: Start a large fleet with few calls to the store

Cause: each instance registered in the store, read all tables there and, before the first configuration, watched for it; all said hello to all. A partition of the store takes one append in 4 ms, so 471 registrations time out and are repeated.

Change: - Seeds read the tables; the others get them from peers of their zone, and read the store after 1 to 2.5 s without. A table is encoded once in 500 ms. - Three instances of each zone are registered. An instance that no seed answers waits a random part of 1.4 s, reads the list, and registers if it names nobody. - While no instance is ready, those that start elect the reader, which alone awaits the first configuration. - In large fleets an instance contacts its zone and four instances of each other one; a message that reaches another instance than the root of a zone is handed to the root. Announcements of tables, and a configuration of up to 32 KB compressed, go along the relay trees. - Two instances of a zone read the store for it when the reader is silent; the others wait 600 ms longer. - The leader of a role is worked out when a candidate changes, not for each slot request. Idle services are not probed.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -2,6 +2,7 @@
 
 #include "apricotrock/base.h"
 
+#include <array>
 #include <map>
 #include <unordered_map>
 
@@ -243,8 +244,16 @@
     explicit Membership(InstanceInfo self) : m_self(std::move(self)) { }
 
     [[nodiscard]] const InstanceInfo &self() const { return m_self; }
-    void setPhase(InstancePhase phase) { m_self.phase = phase; }
-    void setCanReadStore(bool canRead) { m_self.canReadStore = canRead; }
+    void setPhase(InstancePhase phase)
+    {
+        m_self.phase = phase;
+        ++m_generation;
+    }
+    void setCanReadStore(bool canRead)
+    {
+        m_generation += m_self.canReadStore != canRead ? 1 : 0;
+        m_self.canReadStore = canRead;
+    }
 
     /// Adds an instance that is known from another source than its own messages. It counts as
     /// alive only after its first message. Returns true if it was unknown.
@@ -252,6 +261,8 @@
     /// Updates a peer from its own message. Returns true if the peer is alive and either was not
     /// alive before or has restarted.
     bool updatePeer(const InstanceInfo &info, TimePoint now);
+    /// Records a message without a state report from a peer that runs as \a incarnation.
+    void recordMessage(const std::string &ip, std::uint64_t incarnation, TimePoint now);
     /// Applies the report of another availability zone about all of its live instances. Instances
     /// of that zone that are missing from the report and sent no recent message are marked as
     /// dead.
@@ -277,17 +288,35 @@
 
     /// Returns the IP number of the leader for \a role, by weighted rendezvous hashing over the
     /// live instances of large weight, including this one. If \a mustReadStore is set, only
-    /// instances that can read the store are candidates.
+    /// instances that can read the store are candidates. While no instance is ready, those that
+    /// start are candidates. The result is kept until a candidate changes.
     [[nodiscard]] std::string leaderFor(std::string_view role, bool mustReadStore,
                                         TimePoint now) const;
     /// Returns the IP numbers of the live instances that accept connections from callers.
     [[nodiscard]] std::vector<std::string> serving() const;
     /// Returns the number of live instances, including this one.
     [[nodiscard]] std::size_t aliveCount() const;
+    /// Returns the number of live instances of \a availabilityZone without this one.
+    [[nodiscard]] std::size_t alivePeersIn(std::string_view availabilityZone) const;
 
 private:
+    struct KnownLeader
+    {
+        std::string ip;
+        std::uint64_t generation = 0;
+        /// End of the first suspicion that excluded a candidate.
+        TimePoint validUntil;
+    };
+
+    [[nodiscard]] KnownLeader findLeader(std::string_view role, bool mustReadStore,
+                                         TimePoint now) const;
+
     InstanceInfo m_self;
     std::map<std::string, Peer> m_peers;
+    /// Increased with each change that can affect findLeader().
+    std::uint64_t m_generation = 1;
+    /// Leaders by role; the second map requires that they can read the store.
+    mutable std::array<std::map<std::string, KnownLeader, std::less<>>, 2> m_leaders;
 };
 
 } // namespace apricotrock::fleet
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
+#include <unordered_set>
 
 namespace apricotrock::fleet {
 
@@ -37,9 +39,11 @@
     return -weight / std::log(uniform);
 }
 
-bool canTakeRole(const InstanceInfo &info, bool mustReadStore)
+/// True if the fields are equal by which a peer can become leader.
+bool hasSameRank(const InstanceInfo &left, const InstanceInfo &right)
 {
-    return info.phase == InstancePhase::Ready && (info.canReadStore || !mustReadStore);
+    return std::tie(left.phase, left.weight, left.canReadStore)
+        == std::tie(right.phase, right.weight, right.canReadStore);
 }
 
 } // namespace
@@ -64,20 +68,36 @@
     // A delayed datagram of an instance that has stopped must not mark it as alive again.
     if (peer.info.incarnation == info.incarnation && peer.info.phase > info.phase)
         return false;
+    const bool wasAlive = peer.isAlive;
+    const bool isRankChanged = !hasSameRank(peer.info, info);
     peer.info = info;
     peer.lastHeard = now;
     peer.isFromZoneReport = usesZoneReports() && info.availabilityZone != m_self.availabilityZone;
     peer.isAlive = info.phase != InstancePhase::Stopped;
     if (isNew)
         peer.suspectUntil = {};
+    if (isNew || isRankChanged || wasAlive != peer.isAlive)
+        ++m_generation;
     return isNew && peer.isAlive;
 }
 
+void Membership::recordMessage(const std::string &ip, std::uint64_t incarnation, TimePoint now)
+{
+    const auto found = m_peers.find(ip);
+    if (found == m_peers.end() || found->second.info.incarnation != incarnation)
+        return;
+    found->second.lastHeard = now;
+    m_generation += found->second.suspectUntil > now ? 1 : 0;
+    found->second.suspectUntil = {};
+}
+
 void Membership::markSuspect(const std::string &ip, Duration length, TimePoint now)
 {
     const auto found = m_peers.find(ip);
-    if (found != m_peers.end())
-        found->second.suspectUntil = now + length;
+    if (found == m_peers.end())
+        return;
+    found->second.suspectUntil = now + length;
+    ++m_generation;
 }
 
 bool Membership::usesZoneReports() const
@@ -131,13 +151,15 @@
         return;
     for (const InstanceInfo &info : instances)
         updatePeer(info, now);
+    std::unordered_set<std::string_view> named;
+    for (const InstanceInfo &info : instances)
+        named.insert(info.ip);
     for (auto &[ip, peer] : m_peers) {
-        const bool isNamed =
-            std::any_of(instances.begin(), instances.end(),
-                        [&ip = ip](const InstanceInfo &each) { return each.ip == ip; });
-        if (peer.info.availabilityZone == availabilityZone && !isNamed
-            && now - peer.lastHeard > heartbeatTimeout)
-            peer.isAlive = false;
+        if (!peer.isAlive || peer.info.availabilityZone != availabilityZone || named.contains(ip)
+            || now - peer.lastHeard <= heartbeatTimeout)
+            continue;
+        peer.isAlive = false;
+        ++m_generation;
     }
 }
 
@@ -150,6 +172,7 @@
                 < (peer.isFromZoneReport ? zoneReportTimeout : heartbeatTimeout))
             continue;
         peer.isAlive = false;
+        ++m_generation;
         lost.push_back(ip);
     }
     std::erase_if(m_peers, [now](const auto &each) {
@@ -160,28 +183,48 @@
 
 std::string Membership::leaderFor(std::string_view role, bool mustReadStore, TimePoint now) const
 {
-    const auto isCandidate = [&](const Peer &peer) {
-        return peer.isAlive && now >= peer.suspectUntil && canTakeRole(peer.info, mustReadStore);
-    };
-    const bool isSelfCandidate = canTakeRole(m_self, mustReadStore);
-    double largest = isSelfCandidate ? m_self.weight : 0;
+    auto &leaders = m_leaders[mustReadStore ? 1 : 0];
+    auto found = leaders.find(role);
+    if (found == leaders.end())
+        found = leaders.emplace(role, KnownLeader()).first;
+    KnownLeader &known = found->second;
+    if (known.generation != m_generation || now >= known.validUntil)
+        known = findLeader(role, mustReadStore, now);
+    return known.ip;
+}
+
+Membership::KnownLeader Membership::findLeader(std::string_view role, bool mustReadStore,
+                                               TimePoint now) const
+{
+    KnownLeader leader{m_self.ip, m_generation, TimePoint::max()};
+    std::vector<const InstanceInfo *> live{&m_self};
     for (const auto &[ip, peer] : m_peers) {
-        if (isCandidate(peer))
-            largest = std::max(largest, peer.info.weight);
+        if (peer.isAlive && now >= peer.suspectUntil)
+            live.push_back(&peer.info);
+        else if (peer.isAlive)
+            leader.validUntil = std::min(leader.validUntil, peer.suspectUntil);
     }
-    const double smallest = largest * minRoleWeightShare;
-    std::string leader = m_self.ip;
-    double best = -1;
-    if (isSelfCandidate && m_self.weight >= smallest)
-        best = weightedScore(role, m_self.ip, m_self.weight);
-    for (const auto &[ip, peer] : m_peers) {
-        if (!isCandidate(peer) || peer.info.weight < smallest)
-            continue;
-        const double score = weightedScore(role, ip, peer.info.weight);
-        if (score > best) {
-            best = score;
-            leader = ip;
+    for (const InstancePhase phase : {InstancePhase::Ready, InstancePhase::Starting}) {
+        const auto isCandidate = [&](const InstanceInfo &info) {
+            return info.phase == phase && (info.canReadStore || !mustReadStore);
+        };
+        double largest = 0;
+        for (const InstanceInfo *each : live) {
+            if (isCandidate(*each))
+                largest = std::max(largest, each->weight);
         }
+        double best = -1;
+        for (const InstanceInfo *each : live) {
+            if (!isCandidate(*each) || each->weight < largest * minRoleWeightShare)
+                continue;
+            const double score = weightedScore(role, each->ip, each->weight);
+            if (score > best) {
+                best = score;
+                leader.ip = each->ip;
+            }
+        }
+        if (best >= 0)
+            break;
     }
     return leader;
 }
@@ -198,6 +241,14 @@
     return addresses;
 }
 
+std::size_t Membership::alivePeersIn(std::string_view availabilityZone) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(), [availabilityZone](const auto &each) {
+            return each.second.isAlive && each.second.info.availabilityZone == availabilityZone;
+        }));
+}
+
 std::size_t Membership::aliveCount() const
 {
     return 1
--- a/packages/gateway/src/peerchannel.cpp
+++ b/packages/gateway/src/peerchannel.cpp
@@ -24,6 +24,9 @@
 constexpr Duration exchangeInterval = milliseconds(4000);
 /// Maximum number of instances in one datagram; keeps it below the usual path MTU.
 constexpr std::size_t instancesPerDatagram = 30;
+/// Number of instances of another availability zone that an instance of a large fleet contacts.
+/// More would let the messages of a start grow with the square of the fleet.
+constexpr std::size_t contactsPerZone = 4;
 /// The same for leaving backend servers.
 constexpr std::size_t leavingPerDatagram = 30;
 
@@ -197,13 +200,15 @@
         send(ip, message);
 }
 
-void PeerChannel::broadcastTables(wire::GatewayMessageT &message)
+void PeerChannel::broadcastTables(wire::GatewayMessageT &message, Scope scope)
 {
     if (!m_context.membership.usesZoneReports()) {
         broadcast(message);
         return;
     }
     sendToZone(m_context.membership.self().availabilityZone, message);
+    if (scope == Scope::OwnZone)
+        return;
     for (const std::string &zone : otherZones())
         sendToZone(zone, message);
 }
@@ -218,18 +223,76 @@
     }
 }
 
+void PeerChannel::announceTables(Scope scope)
+{
+    if (!m_context.membership.usesZoneReports()) {
+        announce();
+        return;
+    }
+    // Without the state of this instance, because the message is relayed by others.
+    wire::GatewayMessageT message = ownState(false);
+    if (m_tableState)
+        message.tables = std::make_unique<wire::TableState>(m_tableState());
+    broadcastTables(message, scope);
+}
+
 void PeerChannel::announce()
 {
-    broadcast(ownState(true));
+    const wire::GatewayMessageT message = ownState(true);
+    if (!m_context.membership.usesZoneReports()) {
+        broadcast(message);
+        return;
+    }
+    for (auto &[ip, peer] : m_context.membership.peers()) {
+        if (!peer.isAlive
+            || peer.info.availabilityZone != m_context.membership.self().availabilityZone)
+            continue;
+        peer.lastHeartbeatSent = Clock::now();
+        send(ip, message);
+    }
 }
 
-void PeerChannel::addPeer(const std::string &ip, const std::string &availabilityZone)
+bool PeerChannel::addPeer(const std::string &ip, const std::string &availabilityZone,
+                          bool wantsInstances)
 {
     fleet::InstanceInfo info;
     info.ip = ip;
     info.availabilityZone = availabilityZone;
-    if (m_context.membership.addPeer(info, Clock::now()))
-        sendHello(ip, false);
+    const bool isNew = m_context.membership.addPeer(info, Clock::now());
+    if (isNew && (wantsInstances || needsContactIn(availabilityZone)))
+        sendHello(ip, wantsInstances);
+    return isNew;
+}
+
+bool PeerChannel::needsContactIn(const std::string &availabilityZone) const
+{
+    return !m_context.membership.usesZoneReports()
+        || availabilityZone == m_context.membership.self().availabilityZone
+        || m_context.membership.alivePeersIn(availabilityZone) < contactsPerZone;
+}
+
+std::vector<fleet::InstanceInfo> PeerChannel::contactsFor(const std::string &ip) const
+{
+    const fleet::Membership &membership = m_context.membership;
+    const auto found = membership.peers().find(ip);
+    std::map<std::string, std::vector<fleet::InstanceInfo>> byZone;
+    for (const auto &[other, peer] : membership.peers()) {
+        if (other != ip && peer.isAlive)
+            byZone[peer.info.availabilityZone].push_back(peer.info);
+    }
+    std::vector<fleet::InstanceInfo> contacts;
+    for (const auto &[zone, instances] : byZone) {
+        const bool isOwnZone =
+            found != membership.peers().end() && found->second.info.availabilityZone == zone;
+        const std::size_t count = isOwnZone || !membership.usesZoneReports()
+            ? instances.size()
+            : std::min(instances.size(), contactsPerZone);
+        // Different instances get different contacts.
+        const std::size_t first = hash64(ip) % instances.size();
+        for (std::size_t i = 0; i < count; ++i)
+            contacts.push_back(instances[(first + i) % instances.size()]);
+    }
+    return contacts;
 }
 
 void PeerChannel::sendHello(const std::string &ip, bool wantsInstances)
@@ -245,12 +308,10 @@
 void PeerChannel::sendInstances(const std::string &ip)
 {
     wire::GatewayMessageT message = ownState(true);
-    for (const auto &[other, peer] : m_context.membership.peers()) {
-        if (other == ip || !peer.isAlive)
-            continue;
+    for (const fleet::InstanceInfo &each : contactsFor(ip)) {
         auto address = std::make_unique<wire::InstanceAddressT>();
-        address->ip = other;
-        address->availability_zone = peer.info.availabilityZone;
+        address->ip = each.ip;
+        address->availability_zone = each.availabilityZone;
         message.instances.push_back(std::move(address));
         if (message.instances.size() == instancesPerDatagram) {
             send(ip, message);
@@ -272,11 +333,40 @@
 {
     if (m_newInstances.empty())
         return;
-    wire::GatewayMessageT message = ownState(true);
-    for (const wire::InstanceAddressT &each : m_newInstances)
-        message.instances.push_back(std::make_unique<wire::InstanceAddressT>(each));
-    m_newInstances.clear();
-    broadcast(message);
+    const auto added = std::exchange(m_newInstances, {});
+    std::map<std::string, wire::GatewayMessageT> byZone;
+    for (const auto &[ip, peer] : m_context.membership.peers()) {
+        if (!peer.isAlive)
+            continue;
+        // In a large fleet the zone of a new instance reports it to the other zones.
+        const std::string &zone = peer.info.availabilityZone;
+        auto message = byZone.find(zone);
+        if (message == byZone.end()) {
+            message = byZone.emplace(zone, ownState(true)).first;
+            for (const wire::InstanceAddressT &each : added) {
+                if (!m_context.membership.usesZoneReports() || each.availability_zone == zone)
+                    message->second.instances.push_back(
+                        std::make_unique<wire::InstanceAddressT>(each));
+            }
+        }
+        if (!message->second.instances.empty())
+            send(ip, message->second);
+    }
+}
+
+void PeerChannel::relayInZone(const std::string &sender, const wire::GatewayMessageT &message)
+{
+    const fleet::Membership &membership = m_context.membership;
+    const std::string &zone = membership.self().availabilityZone;
+    const auto found = membership.peers().find(sender);
+    const bool isFromOtherZone =
+        found == membership.peers().end() || found->second.info.availabilityZone != zone;
+    const std::string root = membership.relayRoot(zone, static_cast<RelayOrder>(message.relay));
+    // An instance that knows only part of another zone may send to one that is not its root.
+    if (isFromOtherZone && root != m_context.settings.ip)
+        send(root, message);
+    else
+        relay(message);
 }
 
 void PeerChannel::sendZoneReports()
@@ -358,7 +448,7 @@
         if (now - peer.lastHeartbeatSent
             < (peer.isAlive && !isInOtherZone ? heartbeatInterval : helloInterval))
             continue;
-        if (!isInOtherZone || !peer.isAlive)
+        if (!isInOtherZone || (!peer.isAlive && needsContactIn(peer.info.availabilityZone)))
             sendHello(ip, false);
     }
     if (usesReports && now - m_zoneReported >= heartbeatInterval) {
@@ -395,9 +485,9 @@
     wire::GatewayMessageT message;
     wire::GetGatewayMessage(data)->UnPackTo(&message);
     const TimePoint now = Clock::now();
-    auto &peers = m_context.membership.peers();
-    const auto found = peers.find(ip);
     if (message.self) {
+        const auto &peers = m_context.membership.peers();
+        const auto found = peers.find(ip);
         const bool isNew = found == peers.end() || !found->second.isAlive;
         if (m_context.membership.updatePeer(toInfo(ip, *message.self), now))
             m_handlers.joined(ip);
@@ -412,14 +502,13 @@
         } else if (isNew) {
             sendHello(ip, false);
         }
-    } else if (found != peers.end() && found->second.info.incarnation == message.incarnation) {
-        found->second.lastHeard = now;
-        found->second.suspectUntil = {};
+    } else {
+        m_context.membership.recordMessage(ip, message.incarnation, now);
     }
     if (message.zone_report)
         handleZoneReport(*message.zone_report);
     for (const auto &each : message.instances)
-        addPeer(each->ip, each->availability_zone);
+        addPeer(each->ip, each->availability_zone, false);
     if (!message.leaving.empty()) {
         std::vector<fleet::LeavingServer> leaving;
         for (const auto &each : message.leaving)
@@ -433,7 +522,7 @@
     for (const wire::SlotResponse &each : message.answers)
         m_handlers.slotResponse(ip, each);
     if (message.relay != static_cast<std::uint8_t>(RelayOrder::None))
-        relay(message);
+        relayInZone(ip, message);
     if (message.tables)
         m_handlers.tables(ip, message);
 }
--- a/packages/gateway/src/peerchannel.h
+++ b/packages/gateway/src/peerchannel.h
@@ -34,13 +34,19 @@
     void sendSlotRelease(const std::string &ip, const wire::SlotRelease &end);
     /// Sends \a message to every live instance.
     void broadcast(const wire::GatewayMessageT &message);
-    /// Sends table changes to every live instance. In large fleets the instances of each
-    /// availability zone relay them, so that the bandwidth of a small instance suffices.
-    void broadcastTables(wire::GatewayMessageT &message);
-    /// Sends the state of this instance to every live instance at once.
+    enum class Scope { Fleet, OwnZone };
+    /// Sends table changes to every live instance in \a scope. In large fleets the instances of
+    /// each availability zone relay them, so that the bandwidth of a small instance suffices.
+    void broadcastTables(wire::GatewayMessageT &message, Scope scope = Scope::Fleet);
+    /// Sends the state of the tables to every live instance in \a scope.
+    void announceTables(Scope scope);
+    /// Sends the state of this instance to every live instance at once. In large fleets only those
+    /// of the own zone get it; the others get the next zone report.
     void announce();
-    /// Adds an instance that another source named, and sends it a hello message.
-    void addPeer(const std::string &ip, const std::string &availabilityZone);
+    /// Adds an instance that another source named, and sends it a hello message, in which it asks
+    /// for the instances that the peer knows if \a wantsInstances is set. Returns true if it was
+    /// unknown.
+    bool addPeer(const std::string &ip, const std::string &availabilityZone, bool wantsInstances);
     /// Sets the function that returns the table state sent with every heartbeat.
     void setTableState(std::function<wire::TableState()> state) { m_tableState = std::move(state); }
 
@@ -75,6 +81,13 @@
     void requestInstances(TimePoint now, bool hasLivePeer);
     void tick();
     [[nodiscard]] wire::GatewayMessageT ownState(bool isFull) const;
+    /// Returns the live instances that \a ip needs to know in order to join: those of its
+    /// availability zone, and a few of each other zone, which reports about its other instances.
+    [[nodiscard]] std::vector<fleet::InstanceInfo> contactsFor(const std::string &ip) const;
+    /// True if an instance of \a availabilityZone is needed as a contact.
+    [[nodiscard]] bool needsContactIn(const std::string &availabilityZone) const;
+    /// Relays a message in the own zone, or sends it to the instance that begins with that.
+    void relayInZone(const std::string &sender, const wire::GatewayMessageT &message);
 
     Context &m_context;
     Handlers m_handlers;
--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -20,6 +20,8 @@
 constexpr Duration queuePassInterval = milliseconds(5);
 /// After a slot request of a peer, this instance counts as leader of the service for this long.
 constexpr Duration peerRequestWindow = milliseconds(1000);
+/// The servers of a service are not probed when nobody has requested a slot for this long.
+constexpr Duration idleProbeTime = milliseconds(5000);
 
 std::uint64_t instanceKey(const std::string &ip)
 {
@@ -334,6 +336,7 @@
 
 broker::Decision SlotAllocator::decide(ServiceSlots &service, const broker::AttemptRequest &request)
 {
+    service.lastRequest = Clock::now();
     const DecisionTimer timer(*this, service);
     return broker::requestAttempt(service.state, request, Clock::now());
 }
@@ -408,7 +411,8 @@
     const TimePoint now = Clock::now();
     std::vector<DueProbe> due;
     for (auto &[key, each] : m_services) {
-        if (each.leader != m_context.settings.ip)
+        const bool isNeeded = now - each.lastRequest < idleProbeTime;
+        if (each.leader != m_context.settings.ip || !isNeeded)
             continue;
         for (const broker::ServerKey server : broker::takeDueProbes(each.state, now))
             due.push_back({each.name, server});
--- a/packages/gateway/src/slotallocator.h
+++ b/packages/gateway/src/slotallocator.h
@@ -96,6 +96,8 @@
         std::string leader;
         /// Time of the last slot request of another instance.
         TimePoint lastPeerRequest;
+        /// Time of the last slot request that was decided here.
+        TimePoint lastRequest;
         LeaderLoad load;
         bool isQueuePassScheduled = false;
     };
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -22,11 +22,27 @@
 constexpr std::size_t zoneFetchers = 2;
 constexpr Duration zoneFetchDelay = milliseconds(350);
 constexpr Duration fetchTimeout = milliseconds(400);
+/// An encoded table is sent to all peers that ask for it within this time.
+constexpr Duration encodedTablesLifetime = milliseconds(500);
+/// Largest compressed configuration that is sent in one datagram; instances fetch a larger one.
+constexpr std::size_t maxConfigurationDatagram = std::size_t(32) * 1024;
+/// Time after the start in which an instance fetches tables from its own availability zone only.
+constexpr Duration ownZoneTablesTime = milliseconds(500);
 /// Leaving servers are collected for this long, because many leave at the same time.
 constexpr Duration leavingBroadcastDelay = milliseconds(150);
 constexpr std::string_view configurationPath = "/configuration";
 constexpr std::string_view serversPath = "/servers";
 
+std::vector<std::uint8_t> compress(const std::uint8_t *data, std::size_t count)
+{
+    uLongf size = compressBound(count);
+    std::vector<std::uint8_t> packed(size);
+    // Cannot fail: the buffer has the size that compressBound() returned.
+    compress2(packed.data(), &size, data, count, Z_BEST_SPEED);
+    packed.resize(size);
+    return packed;
+}
+
 /// Compresses \a records into \a message.
 void packUpdates(const std::vector<StoredRecord> &records, wire::GatewayMessageT &message)
 {
@@ -41,13 +57,8 @@
     }
     flatbuffers::FlatBufferBuilder builder(updateBytes);
     builder.Finish(wire::ServerUpdates::Pack(builder, &table));
-    uLongf size = compressBound(builder.GetSize());
-    message.packed_updates.resize(size);
     message.unpacked_bytes = builder.GetSize();
-    // Cannot fail: the buffer has the size that compressBound() returned.
-    compress2(message.packed_updates.data(), &size, builder.GetBufferPointer(), builder.GetSize(),
-              Z_BEST_SPEED);
-    message.packed_updates.resize(size);
+    message.packed_updates = compress(builder.GetBufferPointer(), builder.GetSize());
 }
 
 Result<std::vector<StoredRecord>> unpackUpdates(const wire::GatewayMessageT &message)
@@ -100,14 +111,65 @@
         message.tables = std::make_unique<wire::TableState>(now.configuration_version(), to,
                                                             std::min(now.last_change(), to),
                                                             now.read_age_ms(), now.is_reader());
-        m_peers.broadcastTables(message);
+        m_peers.broadcastTables(
+            message, isReader() ? PeerChannel::Scope::Fleet : PeerChannel::Scope::OwnZone);
         from = to;
     }
 }
 
+void TableSync::broadcastConfiguration()
+{
+    const std::string &text = m_context.configurationText;
+    wire::GatewayMessageT message;
+    message.incarnation = m_context.membership.self().incarnation;
+    message.tables = std::make_unique<wire::TableState>(state());
+    message.packed_configuration =
+        compress(reinterpret_cast<const std::uint8_t *>(text.data()), text.size());
+    message.unpacked_configuration_bytes = static_cast<std::uint32_t>(text.size());
+    if (message.packed_configuration.size() > maxConfigurationDatagram)
+        message.packed_configuration.clear();
+    m_peers.broadcastTables(message);
+}
+
+void TableSync::handleConfiguration(const std::string &ip, const wire::GatewayMessageT &message)
+{
+    if (message.packed_configuration.empty())
+        return;
+    if (message.unpacked_configuration_bytes > maxUnpackedBytes) {
+        logUnusableTables(ip, "configuration is larger than it can be");
+        return;
+    }
+    std::string text(message.unpacked_configuration_bytes, '\0');
+    uLongf size = text.size();
+    const int result =
+        uncompress(reinterpret_cast<Bytef *>(text.data()), &size,
+                   message.packed_configuration.data(), message.packed_configuration.size());
+    if (result != Z_OK || size != text.size()) {
+        logUnusableTables(ip, "configuration cannot be unpacked");
+        return;
+    }
+    applyConfiguration(text, "peer");
+}
+
+void TableSync::fetchFirstTables(const std::string &ip, const wire::TableState &tables)
+{
+    const fleet::Membership &membership = m_context.membership;
+    const auto sender = membership.peers().find(ip);
+    const bool isNear = sender != membership.peers().end()
+        && sender->second.info.availabilityZone == membership.self().availabilityZone;
+    // All instances may start at the same time; each that has the tables then serves its zone.
+    const bool isWaiting = membership.usesZoneReports() && !isNear && !isZoneFetcher()
+        && Clock::now() - m_started < ownZoneTablesTime;
+    if (tables.server_position() > 0 && !isWaiting)
+        fetchTables(ip, true);
+}
+
 void TableSync::handleTables(const std::string &ip, const wire::GatewayMessageT &message)
 {
     const wire::TableState &tables = *message.tables;
+    handleConfiguration(ip, message);
+    if (!m_context.servers.hasSnapshot())
+        fetchFirstTables(ip, tables);
     if (const auto updates = unpackUpdates(message); !updates)
         logUnusableTables(ip, updates.error().message);
     else if (!updates->empty())
@@ -124,8 +186,6 @@
                 m_context.servers.storeAnswered(Clock::now());
         } else if (m_context.servers.hasSnapshot()) {
             scheduleCatchUp(tables.last_change());
-        } else {
-            fetchTables(ip, true);
         }
     }
     const fleet::Configuration *configuration = m_context.routes.configuration();
@@ -275,6 +335,15 @@
         exchange->respond(404, {}, "not known here", true);
         return;
     }
+    exchange->respond(200, {}, encodedTables(), true);
+}
+
+const std::string &TableSync::encodedTables()
+{
+    const TimePoint now = Clock::now();
+    if (m_encodedPosition == m_context.servers.position() && !m_encodedTables.empty()
+        && now - m_tablesEncoded < encodedTablesLifetime)
+        return m_encodedTables;
     wire::GatewayMessageT message;
     message.tables = std::make_unique<wire::TableState>(state());
     std::vector<StoredRecord> updates;
@@ -285,9 +354,11 @@
     packUpdates(updates, message);
     flatbuffers::FlatBufferBuilder builder(4096);
     builder.Finish(wire::GatewayMessage::Pack(builder, &message), wire::GatewayMessageIdentifier());
-    exchange->respond(
-        200, {}, {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()},
-        true);
+    m_encodedTables.assign(reinterpret_cast<const char *>(builder.GetBufferPointer()),
+                           builder.GetSize());
+    m_encodedPosition = m_context.servers.position();
+    m_tablesEncoded = now;
+    return m_encodedTables;
 }
 
 } // namespace apricotrock::gateway
--- a/packages/gateway/src/tablesync.cpp
+++ b/packages/gateway/src/tablesync.cpp
@@ -13,7 +13,10 @@
 
 constexpr Duration tickInterval = milliseconds(50);
 /// An instance that has not heard from the reader for this long reads the store itself.
-constexpr Duration readerTimeout = milliseconds(1150);
+constexpr Duration baseReaderTimeout = milliseconds(1150);
+/// In large fleets two instances of a zone read for the others of it, which wait for them this much
+/// longer.
+constexpr Duration zoneReaderDelay = milliseconds(600);
 /// Delay after a failed read; doubles with each further failure.
 constexpr Duration initialRetryDelay = milliseconds(200);
 constexpr unsigned maxRetryDoublings = 3;
@@ -23,19 +26,35 @@
 /// Interval of configuration reads by an instance that has lost contact with the reader.
 constexpr Duration configurationInterval = milliseconds(800);
 constexpr Duration retryInterval = milliseconds(300);
+constexpr unsigned maxSnapshotDoublings = 2;
 /// An instance may become the reader this long after it received its tables, when it knows most of
 /// the other instances.
 constexpr Duration readerTakeoverDelay = milliseconds(600);
-/// The reader timeout starts this long after the instance received its tables.
-constexpr Duration readerStartupGrace = milliseconds(800);
+/// The reader timeout starts this long after the instance received its tables; in large fleets it
+/// takes longer until all agree on the reader.
+constexpr Duration smallFleetStartupGrace = milliseconds(800);
+constexpr Duration largeFleetStartupGrace = milliseconds(2000);
 /// Minimum interval of reads, so that servers that register at the same time are read in one call.
 constexpr Duration minReadInterval = milliseconds(100);
 /// Minimum intervals in fleets that use zone reports: for the reader, and for an instance that has
 /// missed updates; the latter is longer because many instances may miss them at the same time.
 constexpr Duration largeFleetReadInterval = milliseconds(300);
 constexpr Duration largeFleetOwnReadInterval = milliseconds(1000);
-/// Instances are looked up in the store if no seed has named any within this time.
+/// Instances are looked up in the store if no seed has named any within this time, plus a random
+/// part of the second: the first to look register, and the others find them.
 constexpr Duration seedTimeout = milliseconds(600);
+constexpr Duration maxDiscoveryDelay = milliseconds(1400);
+/// Tables are read from the store if no peer has supplied them within this time, plus a random part
+/// of the second. Seeds read them at once.
+constexpr Duration peerTablesTimeout = milliseconds(1000);
+constexpr Duration maxPeerTablesDelay = milliseconds(1500);
+/// The first configuration is looked for in the store if no reader has sent it within this time.
+constexpr Duration firstConfigurationTimeout = milliseconds(3000);
+/// An instance is registered in the store when the fleet has had this time to find itself.
+constexpr Duration registrationDelay = milliseconds(2000);
+/// Number of instances of each availability zone that are registered.
+constexpr std::size_t registrarsPerZone = 3;
+constexpr unsigned maxDiscoveryDoublings = 3;
 /// Tables are requested from a peer if the store has not supplied all within this time.
 constexpr Duration storeTimeout = milliseconds(400);
 constexpr Duration fetchInterval = milliseconds(250);
@@ -61,9 +80,16 @@
     auto listening = m_listener.listen({m_context.settings.ip, m_context.settings.tablePort});
     if (!listening)
         return listening;
-    readSnapshot();
-    readConfiguration();
-    registerInstance();
+    const std::vector<std::string> &seeds = m_context.settings.seeds;
+    const bool isSeed = seeds.empty()
+        || std::find(seeds.begin(), seeds.end(), m_context.settings.ip) != seeds.end();
+    m_nextDiscovery = m_started + seedTimeout + randomPart(maxDiscoveryDelay);
+    m_storeReadFrom =
+        m_started + (isSeed ? Duration(0) : peerTablesTimeout + randomPart(maxPeerTablesDelay));
+    if (isSeed) {
+        readSnapshot();
+        readConfiguration();
+    }
     m_context.timers.callEvery(tickInterval, [this] { tick(); });
     return {};
 }
@@ -79,7 +105,56 @@
     const auto age = std::chrono::duration_cast<milliseconds>(Clock::now() - m_lastSuccessfulRead);
     return {configuration ? configuration->version : 0, m_context.servers.position(), m_lastChange,
             static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), UINT32_MAX)),
-            isReader()};
+            isReader() || isZoneReader()};
+}
+
+Duration TableSync::randomPart(Duration length)
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, length.count())(m_random));
+}
+
+bool TableSync::isAlone() const
+{
+    return m_context.membership.aliveCount() <= 1;
+}
+
+bool TableSync::isRegistrar() const
+{
+    const fleet::InstanceInfo &self = m_context.membership.self();
+    const auto zone = m_context.membership.instancesInZone(self.availabilityZone);
+    return std::any_of(zone.begin(),
+                       zone.begin()
+                           + static_cast<std::ptrdiff_t>(std::min(zone.size(), registrarsPerZone)),
+                       [&self](const auto &each) { return each.ip == self.ip; });
+}
+
+Duration TableSync::readerTimeout() const
+{
+    return m_context.membership.usesZoneReports() && !isZoneFetcher()
+        ? baseReaderTimeout + zoneReaderDelay
+        : baseReaderTimeout;
+}
+
+Duration TableSync::readerStartupGrace() const
+{
+    return m_context.membership.usesZoneReports() ? largeFleetStartupGrace : smallFleetStartupGrace;
+}
+
+bool TableSync::isZoneReader() const
+{
+    return m_wasReading && m_context.membership.usesZoneReports() && isZoneFetcher();
+}
+
+void TableSync::discoverInstances(TimePoint now)
+{
+    if (!isAlone()) {
+        const bool isDue = m_completedAt != TimePoint() && now - m_completedAt > registrationDelay
+            && isRegistrar();
+        if (isDue && !m_isRegistered && now - m_registered > retryInterval)
+            registerInstance();
+    } else if (now >= m_nextDiscovery) {
+        readInstances();
+    }
 }
 
 Duration TableSync::shortestReadInterval() const
@@ -108,21 +183,14 @@
         logChanges(expired, "grace_after_outage");
         m_handlers.serversChanged();
     }
-    if (!m_isRegistered && now - m_registered > retryInterval)
-        registerInstance();
-    if (!m_hasInstances && now - m_started > seedTimeout && now - m_instancesRead > retryInterval) {
-        if (m_context.membership.aliveCount() > 1)
-            m_hasInstances = true;
-        else
-            readInstances();
-    }
+    discoverInstances(now);
     if (m_completedAt == TimePoint() && isComplete()) {
         m_completedAt = now;
-        m_lastReaderContact = std::max(m_lastReaderContact, now + readerStartupGrace);
+        m_lastReaderContact = std::max(m_lastReaderContact, now + readerStartupGrace());
     }
     const bool isSettled =
         m_completedAt != TimePoint() && now - m_completedAt > readerTakeoverDelay;
-    const bool isReading = isSettled && (isReader() || now - m_lastReaderContact > readerTimeout);
+    const bool isReading = isSettled && (isReader() || now - m_lastReaderContact > readerTimeout());
     if (isReading != m_wasReading) {
         m_wasReading = isReading;
         m_context.log.write(EventLog::Level::Info,
@@ -133,16 +201,20 @@
                             });
     }
     if (!m_context.servers.hasSnapshot()) {
-        if (now - m_serversRead > retryInterval)
+        const unsigned doublings = std::min(m_failedSnapshots, maxSnapshotDoublings);
+        if (now >= m_storeReadFrom && now - m_serversRead > retryInterval * (1U << doublings))
             readSnapshot();
     } else if (isReading && now >= m_nextRead) {
         readServers();
     }
+    // Until the first version is published, the instance that will be the reader watches for it.
+    const bool awaitsFirstConfiguration = !m_context.routes.configuration()
+        && now >= m_storeReadFrom
+        && (isReader() || isAlone() || now - m_storeReadFrom > firstConfigurationTimeout);
     if (isReading && !isReader()) {
         if (now - m_configurationRead > configurationInterval)
             readConfiguration();
-    } else if (isReading || !m_context.routes.configuration()) {
-        // Until the first version is published, every instance watches for it.
+    } else if (isReading || awaitsFirstConfiguration) {
         watchConfiguration();
     }
     if (!isComplete() && now - m_tablesFetched > fetchInterval && now - m_started > storeTimeout) {
@@ -195,9 +267,11 @@
         Topic::BackendServers, [this](Result<StoredRecords> result) {
             m_isReadingServers = false;
             if (!result) {
+                ++m_failedSnapshots;
                 handleStoreFailure("read_servers", result.error());
                 return;
             }
+            m_failedSnapshots = 0;
             applyServers(result->records, 0, result->end, true, "store");
             handleStoreSuccess();
         });
@@ -240,10 +314,11 @@
             applyServers(result->records, from, result->end, false, "store");
             handleStoreSuccess();
             recordServerRead(Clock::now());
-            if (!isReader())
-                return;
             // Announces that there are no other changes up to this position.
-            m_peers.announce();
+            if (isReader())
+                m_peers.announceTables(PeerChannel::Scope::Fleet);
+            else if (isZoneReader())
+                m_peers.announceTables(PeerChannel::Scope::OwnZone);
         });
 }
 
@@ -276,7 +351,7 @@
         return;
     logChanges(changes, source);
     m_handlers.serversChanged();
-    if (source != "store" || isSnapshot || !isReader())
+    if (source != "store" || isSnapshot || !(isReader() || isZoneReader()))
         return;
     std::vector<StoredRecord> updates;
     updates.reserve(changes.size());
@@ -380,8 +455,10 @@
             .text("source", source);
     });
     m_handlers.configurationChanged();
-    const bool announcesToZone = m_context.membership.usesZoneReports() && isZoneFetcher();
-    if ((source == "store" && isReader()) || announcesToZone)
+    const bool isFromStore = source == "store" && isReader();
+    if (isFromStore && m_context.membership.usesZoneReports())
+        broadcastConfiguration();
+    else if (isFromStore || (m_context.membership.usesZoneReports() && isZoneFetcher()))
         m_peers.announce();
 }
 
@@ -403,21 +480,34 @@
 
 void TableSync::readInstances()
 {
-    if (m_isReadingInstances)
-        return;
-    m_isReadingInstances = true;
-    m_instancesRead = Clock::now();
+    // The answer, or the time of the next call after a failure, sets it anew.
+    m_nextDiscovery = TimePoint::max();
     m_context.adapter.store->readNewest(Topic::Instances, [this](Result<StoredRecords> result) {
-        m_isReadingInstances = false;
+        const TimePoint now = Clock::now();
         if (!result) {
             handleStoreFailure("read_instances", result.error());
+            const unsigned doublings = std::min(m_failedDiscoveries++, maxDiscoveryDoublings);
+            m_nextDiscovery = now + retryInterval * (1U << doublings) + randomPart(retryInterval);
             return;
         }
-        m_hasInstances = true;
+        m_failedDiscoveries = 0;
+        bool hasNewPeer = false;
         for (const StoredRecord &record : result->records) {
             const auto value = nlohmann::json::parse(record.value.value_or("null"), nullptr, false);
             if (value.is_object() && value.contains("zone") && value["zone"].is_string())
-                m_peers.addPeer(record.key, value["zone"].get<std::string>());
+                hasNewPeer |= m_peers.addPeer(record.key, value["zone"].get<std::string>(), true);
+        }
+        if (hasNewPeer) {
+            // They may have stopped; if none answers, the list is read again.
+            m_nextDiscovery = now + seedTimeout + randomPart(maxDiscoveryDelay);
+            m_storeReadFrom =
+                std::max(m_storeReadFrom, now + peerTablesTimeout + randomPart(maxPeerTablesDelay));
+        } else if (!m_isRegistered && isAlone()) {
+            // Others find this instance from now on. The later of two that register at the same
+            // time finds the other when it reads the list again.
+            registerInstance();
+            m_nextDiscovery = now + retryInterval;
+            m_storeReadFrom = std::min(m_storeReadFrom, now);
         }
     });
 }
--- a/packages/gateway/src/tablesync.h
+++ b/packages/gateway/src/tablesync.h
@@ -2,6 +2,8 @@
 
 #include "peerchannel.h"
 
+#include <random>
+
 namespace apricotrock::gateway {
 
 /// Long-poll time of a read of the backend servers; the store answers at once when there are
@@ -46,6 +48,26 @@
     void readConfiguration();
     void registerInstance();
     void readInstances();
+    /// Finds other instances through the store if the seeds have not named any, and lets others
+    /// find this one.
+    void discoverInstances(TimePoint now);
+    /// True if this instance is one of those of its zone that others find through the store.
+    [[nodiscard]] bool isRegistrar() const;
+    /// True while no other instance is known to live.
+    [[nodiscard]] bool isAlone() const;
+    /// Returns a random time up to \a length, so that instances that start together act in turn.
+    Duration randomPart(Duration length);
+    /// Time without contact to the reader after which this instance reads the store itself.
+    [[nodiscard]] Duration readerTimeout() const;
+    [[nodiscard]] Duration readerStartupGrace() const;
+    /// True if this instance reads the store for those of its zone.
+    [[nodiscard]] bool isZoneReader() const;
+    /// Sends the accepted configuration to all instances of a large fleet.
+    void broadcastConfiguration();
+    void handleConfiguration(const std::string &ip, const wire::GatewayMessageT &message);
+    /// Fetches the backend servers from a peer that knows them, if this instance does not.
+    void fetchFirstTables(const std::string &ip, const wire::TableState &tables);
+    [[nodiscard]] const std::string &encodedTables();
     void handleStoreSuccess();
     /// Records a successful read of the backend servers at \a readAt.
     void recordServerRead(TimePoint readAt);
@@ -85,6 +107,14 @@
     std::uint64_t m_configurationPosition = 0;
     bool m_hasConfigurationPosition = false;
     TimePoint m_started;
+    /// The store is not read before this, because peers are likely to supply the tables.
+    TimePoint m_storeReadFrom;
+    /// Time at which an instance that is alone looks for others in the store.
+    TimePoint m_nextDiscovery;
+    /// The backend servers as sent to peers, when they were encoded, and at which position.
+    std::string m_encodedTables;
+    TimePoint m_tablesEncoded;
+    std::uint64_t m_encodedPosition = 0;
     /// Time at which all tables were first available.
     TimePoint m_completedAt;
     TimePoint m_lastReaderContact;
@@ -93,7 +123,9 @@
     TimePoint m_lastSuccessfulRead;
     TimePoint m_nextRead;
     unsigned m_failedReads = 0;
-    TimePoint m_instancesRead;
+    unsigned m_failedSnapshots = 0;
+    unsigned m_failedDiscoveries = 0;
+    std::mt19937 m_random{std::random_device{}()};
     TimePoint m_registered;
     TimePoint m_configurationRead;
     TimePoint m_tablesFetched;
@@ -102,8 +134,6 @@
     bool m_isReadingConfiguration = false;
     bool m_isRegistered = false;
     bool m_isRegistering = false;
-    bool m_isReadingInstances = false;
-    bool m_hasInstances = false;
     bool m_isFetching = false;
     bool m_isFetchScheduled = false;
     bool m_isCatchUpScheduled = false;
--- a/packages/wire/include/apricotrock/gateway_generated.h
+++ b/packages/wire/include/apricotrock/gateway_generated.h
@@ -1097,6 +1097,8 @@
   std::unique_ptr<apricotrock::wire::ZoneReportT> zone_report{};
   std::vector<uint8_t> packed_updates{};
   uint32_t unpacked_bytes = 0;
+  std::vector<uint8_t> packed_configuration{};
+  uint32_t unpacked_configuration_bytes = 0;
   uint64_t updates_from = 0;
   uint8_t relay = 0;
   GatewayMessageT() = default;
@@ -1121,8 +1123,10 @@
     VT_ZONE_REPORT = 20,
     VT_PACKED_UPDATES = 22,
     VT_UNPACKED_BYTES = 24,
-    VT_UPDATES_FROM = 26,
-    VT_RELAY = 28
+    VT_PACKED_CONFIGURATION = 26,
+    VT_UNPACKED_CONFIGURATION_BYTES = 28,
+    VT_UPDATES_FROM = 30,
+    VT_RELAY = 32
   };
   const apricotrock::wire::SenderReport *self() const {
     return GetPointer<const apricotrock::wire::SenderReport *>(VT_SELF);
@@ -1157,6 +1161,12 @@
   uint32_t unpacked_bytes() const {
     return GetField<uint32_t>(VT_UNPACKED_BYTES, 0);
   }
+  const flatbuffers::Vector<uint8_t> *packed_configuration() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_PACKED_CONFIGURATION);
+  }
+  uint32_t unpacked_configuration_bytes() const {
+    return GetField<uint32_t>(VT_UNPACKED_CONFIGURATION_BYTES, 0);
+  }
   uint64_t updates_from() const {
     return GetField<uint64_t>(VT_UPDATES_FROM, 0);
   }
@@ -1186,6 +1196,9 @@
            VerifyOffset(verifier, VT_PACKED_UPDATES) &&
            verifier.VerifyVector(packed_updates()) &&
            VerifyField<uint32_t>(verifier, VT_UNPACKED_BYTES, 4) &&
+           VerifyOffset(verifier, VT_PACKED_CONFIGURATION) &&
+           verifier.VerifyVector(packed_configuration()) &&
+           VerifyField<uint32_t>(verifier, VT_UNPACKED_CONFIGURATION_BYTES, 4) &&
            VerifyField<uint64_t>(verifier, VT_UPDATES_FROM, 8) &&
            VerifyField<uint8_t>(verifier, VT_RELAY, 1) &&
            verifier.EndTable();
@@ -1232,6 +1245,12 @@
   void add_unpacked_bytes(uint32_t unpacked_bytes) {
     fbb_.AddElement<uint32_t>(GatewayMessage::VT_UNPACKED_BYTES, unpacked_bytes, 0);
   }
+  void add_packed_configuration(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_configuration) {
+    fbb_.AddOffset(GatewayMessage::VT_PACKED_CONFIGURATION, packed_configuration);
+  }
+  void add_unpacked_configuration_bytes(uint32_t unpacked_configuration_bytes) {
+    fbb_.AddElement<uint32_t>(GatewayMessage::VT_UNPACKED_CONFIGURATION_BYTES, unpacked_configuration_bytes, 0);
+  }
   void add_updates_from(uint64_t updates_from) {
     fbb_.AddElement<uint64_t>(GatewayMessage::VT_UPDATES_FROM, updates_from, 0);
   }
@@ -1262,11 +1281,15 @@
     flatbuffers::Offset<apricotrock::wire::ZoneReport> zone_report = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_updates = 0,
     uint32_t unpacked_bytes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_configuration = 0,
+    uint32_t unpacked_configuration_bytes = 0,
     uint64_t updates_from = 0,
     uint8_t relay = 0) {
   GatewayMessageBuilder builder_(_fbb);
   builder_.add_updates_from(updates_from);
   builder_.add_incarnation(incarnation);
+  builder_.add_unpacked_configuration_bytes(unpacked_configuration_bytes);
+  builder_.add_packed_configuration(packed_configuration);
   builder_.add_unpacked_bytes(unpacked_bytes);
   builder_.add_packed_updates(packed_updates);
   builder_.add_zone_report(zone_report);
@@ -1299,6 +1322,8 @@
     flatbuffers::Offset<apricotrock::wire::ZoneReport> zone_report = 0,
     const std::vector<uint8_t> *packed_updates = nullptr,
     uint32_t unpacked_bytes = 0,
+    const std::vector<uint8_t> *packed_configuration = nullptr,
+    uint32_t unpacked_configuration_bytes = 0,
     uint64_t updates_from = 0,
     uint8_t relay = 0) {
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotRequest>(*asks) : 0;
@@ -1307,6 +1332,7 @@
   auto instances__ = instances ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::InstanceAddress>>(*instances) : 0;
   auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::LeavingServer>>(*leaving) : 0;
   auto packed_updates__ = packed_updates ? _fbb.CreateVector<uint8_t>(*packed_updates) : 0;
+  auto packed_configuration__ = packed_configuration ? _fbb.CreateVector<uint8_t>(*packed_configuration) : 0;
   return apricotrock::wire::CreateGatewayMessage(
       _fbb,
       self,
@@ -1320,6 +1346,8 @@
       zone_report,
       packed_updates__,
       unpacked_bytes,
+      packed_configuration__,
+      unpacked_configuration_bytes,
       updates_from,
       relay);
 }
@@ -1582,6 +1610,8 @@
         zone_report((o.zone_report) ? new apricotrock::wire::ZoneReportT(*o.zone_report) : nullptr),
         packed_updates(o.packed_updates),
         unpacked_bytes(o.unpacked_bytes),
+        packed_configuration(o.packed_configuration),
+        unpacked_configuration_bytes(o.unpacked_configuration_bytes),
         updates_from(o.updates_from),
         relay(o.relay) {
   instances.reserve(o.instances.size());
@@ -1602,6 +1632,8 @@
   std::swap(zone_report, o.zone_report);
   std::swap(packed_updates, o.packed_updates);
   std::swap(unpacked_bytes, o.unpacked_bytes);
+  std::swap(packed_configuration, o.packed_configuration);
+  std::swap(unpacked_configuration_bytes, o.unpacked_configuration_bytes);
   std::swap(updates_from, o.updates_from);
   std::swap(relay, o.relay);
   return *this;
@@ -1627,6 +1659,8 @@
   { auto _e = zone_report(); if (_e) _o->zone_report = std::unique_ptr<apricotrock::wire::ZoneReportT>(_e->UnPack(_resolver)); }
   { auto _e = packed_updates(); if (_e) { _o->packed_updates.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->packed_updates.begin()); } }
   { auto _e = unpacked_bytes(); _o->unpacked_bytes = _e; }
+  { auto _e = packed_configuration(); if (_e) { _o->packed_configuration.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->packed_configuration.begin()); } }
+  { auto _e = unpacked_configuration_bytes(); _o->unpacked_configuration_bytes = _e; }
   { auto _e = updates_from(); _o->updates_from = _e; }
   { auto _e = relay(); _o->relay = _e; }
 }
@@ -1650,6 +1684,8 @@
   auto _zone_report = _o->zone_report ? CreateZoneReport(_fbb, _o->zone_report.get(), _rehasher) : 0;
   auto _packed_updates = _o->packed_updates.size() ? _fbb.CreateVector(_o->packed_updates) : 0;
   auto _unpacked_bytes = _o->unpacked_bytes;
+  auto _packed_configuration = _o->packed_configuration.size() ? _fbb.CreateVector(_o->packed_configuration) : 0;
+  auto _unpacked_configuration_bytes = _o->unpacked_configuration_bytes;
   auto _updates_from = _o->updates_from;
   auto _relay = _o->relay;
   return apricotrock::wire::CreateGatewayMessage(
@@ -1665,6 +1701,8 @@
       _zone_report,
       _packed_updates,
       _unpacked_bytes,
+      _packed_configuration,
+      _unpacked_configuration_bytes,
       _updates_from,
       _relay);
 }
