--- a/packages/gateway/src/tablesync.cpp
+++ b/packages/gateway/src/tablesync.cpp
@@ -507,7 +507,7 @@
             // time finds the other when it reads the list again.
             registerInstance();
             m_nextDiscovery = now + retryInterval;
-            m_storeReadFrom = std::min(m_storeReadFrom, now);
+            m_storeReadFrom = std::min(m_storeReadFrom, now + 2 * retryInterval);
         }
     });
 }
