--- a/packages/fleet/tests/membershiptest.cpp
+++ b/packages/fleet/tests/membershiptest.cpp
@@ -44,9 +44,61 @@
     CPPUNIT_TEST(zoneReportReplacesHeartbeats);
     CPPUNIT_TEST(instanceMissingFromZoneReportIsDead);
     CPPUNIT_TEST(relayReachesAllOthersIfOneInstanceFails);
+    CPPUNIT_TEST(startingInstancesAgreeOnALeader);
+    CPPUNIT_TEST(leaderFollowsEveryChangeOfTheCandidates);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a start at which each instance takes itself for the leader, so that all of
+    // them read the store and probe the servers.
+    void startingInstancesAgreeOnALeader()
+    {
+        constexpr int count = 6;
+        std::set<std::string> leaders;
+        for (int own = 1; own <= count; ++own) {
+            Membership membership(
+                makeInfo("10.0.0." + std::to_string(own), InstancePhase::Starting));
+            for (int other = 1; other <= count; ++other)
+                membership.updatePeer(
+                    makeInfo("10.0.0." + std::to_string(other), InstancePhase::Starting), m_now);
+            leaders.insert(membership.leaderFor("store-reader", true, m_now));
+            membership.updatePeer(makeInfo("10.0.0.9"), m_now);
+            CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9"),
+                                 membership.leaderFor("store-reader", true, m_now));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), leaders.size());
+    }
+
+    // Guards against a leader that is remembered although it can no longer be the leader.
+    void leaderFollowsEveryChangeOfTheCandidates()
+    {
+        Membership membership(makeInfo("10.0.0.1", InstancePhase::Starting));
+        const auto leader = [&membership](TimePoint now) {
+            return membership.leaderFor("role", true, now);
+        };
+        const std::string other = "10.0.0.2";
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), leader(m_now));
+        membership.updatePeer(makeInfo(other), m_now);
+        CPPUNIT_ASSERT_EQUAL(other, leader(m_now));
+        membership.markSuspect(other, 600ms, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), leader(m_now + 599ms));
+        CPPUNIT_ASSERT_EQUAL(other, leader(m_now + 600ms));
+        membership.markSuspect(other, 600ms, m_now);
+        membership.recordMessage(other, 1, m_now + 10ms);
+        CPPUNIT_ASSERT_EQUAL(other, leader(m_now + 10ms));
+        InstanceInfo unableToRead = makeInfo(other);
+        unableToRead.canReadStore = false;
+        membership.updatePeer(unableToRead, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), leader(m_now));
+        membership.updatePeer(makeInfo(other), m_now);
+        membership.expire(m_now + 10s);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), leader(m_now + 10s));
+        membership.updatePeer(makeInfo(other), m_now + 11s);
+        CPPUNIT_ASSERT_EQUAL(other, leader(m_now + 11s));
+        membership.updatePeer(makeInfo(other, InstancePhase::Leaving), m_now + 11s);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), leader(m_now + 11s));
+    }
+
     // Guards against directing callers to an address that is known only from an outdated record.
     void addedPeerIsNotServingBeforeFirstMessage()
     {
