Loop: Release unanswered requests with their listener

Cause: an exchange and its connection refer to each other; with a listener that is destroyed while requests are unanswered, both leaked. AddressSanitizer found 20 allocations in loop_test. UBSan also reported an overflow where no server is busy (the cost was the largest double) and structs of datagrams in a buffer without alignment; both are older. Change: the listener drops unanswered requests when it is destroyed, the cost is 1e6 s, the buffer is aligned.

--- a/packages/broker/src/serverranking.cpp
+++ b/packages/broker/src/serverranking.cpp
@@ -3,7 +3,6 @@
 #include "estimate.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace apricotrock::broker {
 
@@ -20,6 +19,9 @@
 /// A server with a higher excess failure share is used only if no other server has a free slot.
 constexpr double degradedFailureShare = 0.45;
 
+/// Cost in seconds while there is no server; longer than any deadline.
+constexpr double noServerCost = 1e6;
+
 bool isExcluded(const ServiceState &state, const AttemptRequest &request, ServerKey key,
                 TimePoint now)
 {
@@ -167,7 +169,7 @@
         std::make_heap(m_full.begin(), m_full.end(), costlierFor<Entry>(work));
     }
     const auto entry = cheapest(m_full, request, m_waitWork);
-    return entry ? entry->wait + work * entry->relativeCost : std::numeric_limits<double>::max();
+    return entry ? entry->wait + work * entry->relativeCost : noServerCost;
 }
 
 void ServerRanking::addAttempt(ServerState &server)
--- a/packages/gateway/src/peerchannel.h
+++ b/packages/gateway/src/peerchannel.h
@@ -93,7 +93,8 @@
     Handlers m_handlers;
     asio::ip::udp::socket m_socket;
     asio::ip::udp::endpoint m_sender;
-    std::array<char, 65536> m_buffer{};
+    /// Aligned for the structs of the messages.
+    alignas(8) std::array<char, 65536> m_buffer{};
     std::map<std::string, wire::GatewayMessageT> m_pending;
     std::function<wire::TableState()> m_tableState;
     std::function<std::vector<fleet::LeavingServer>()> m_leavingServers;
--- a/packages/loop/include/apricotrock/loop.h
+++ b/packages/loop/include/apricotrock/loop.h
@@ -288,6 +288,8 @@
     void startGracefulClose();
     /// Tells the handlers of unanswered requests that the caller gets no response.
     void dropRequests();
+    /// Drops unanswered requests, which refer to this connection, without telling their handlers.
+    void abandon();
     void close();
     void checkTimeout(TimePoint now);
     /// True while a request has no complete response.
@@ -328,6 +330,11 @@
     using RefusalCallback = std::function<void(int status, std::string_view text)>;
 
     HttpListener(asio::io_context &context, LoopTimers &timers, Handler handler);
+    /// Drops the unanswered requests of its connections; these may outlive the listener.
+    ~HttpListener();
+    HttpListener(const HttpListener &) = delete;
+    HttpListener &operator=(const HttpListener &) = delete;
+
     /// Starts to listen.
     Result<void> listen(const Endpoint &address);
     void setLimits(const ServerLimits &limits) { m_limits = limits; }
--- a/packages/loop/src/httplistener.cpp
+++ b/packages/loop/src/httplistener.cpp
@@ -29,6 +29,16 @@
     });
 }
 
+HttpListener::~HttpListener()
+{
+    const std::vector<HttpServerConnection *> all(m_connections->open.begin(),
+                                                  m_connections->open.end());
+    for (HttpServerConnection *each : all) {
+        if (const auto held = each->weak_from_this().lock())
+            held->abandon();
+    }
+}
+
 Result<void> HttpListener::listen(const Endpoint &address)
 {
     std::error_code error;
--- a/packages/loop/src/httpserverconnection.cpp
+++ b/packages/loop/src/httpserverconnection.cpp
@@ -299,6 +299,12 @@
     }
 }
 
+void HttpServerConnection::abandon()
+{
+    m_isClosed = true;
+    m_exchanges.clear();
+}
+
 void HttpServerConnection::close()
 {
     if (m_isClosed)
