--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -163,6 +163,8 @@
     const bool isKnown = !attempt.server.id.empty();
     logEvent(EventLog::Level::Info, "slot_granted", [&](LogLine &line) {
         line.text("server", isKnown ? attempt.server.id : "unknown")
+            .text("server_service", attempt.server.service)
+            .number("ticket", static_cast<std::int64_t>(slot.key.ticket))
             .text("holder", decision.leader)
             .text("decided", deciderName(decision.by))
             .flag("hedge", isHedge)
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -176,7 +176,9 @@
         context.membership.setPhase(fleet::InstancePhase::Stopped);
         peers.announce();
         context.log.write(EventLog::Level::Info, "stopped", [this](LogLine &line) {
-            line.number("requests_in_work", static_cast<std::int64_t>(path.activeCalls()));
+            line.number("requests_in_work", static_cast<std::int64_t>(path.activeCalls()))
+                .number("slot_requests_waiting",
+                        static_cast<std::int64_t>(slotAllocator.pendingRequests()));
         });
         context.log.flush();
         finished();
--- a/packages/gateway/src/slotallocator.h
+++ b/packages/gateway/src/slotallocator.h
@@ -54,6 +54,9 @@
                    const broker::LoadReport &load);
     void recordProbeFailure(const std::string &service, broker::ServerKey server);
 
+    /// Returns the number of requests without a decision.
+    [[nodiscard]] std::size_t pendingRequests() const { return m_pendingRequests.size(); }
+
     /// Called when the set of backend servers or of instances has changed.
     void updateServers();
     void updateLeaders();
