Gateway: Number slot requests so that no later process uses a number again

Cause: a process numbered its slot requests from 1. The leader of a service knows a request by the IP address and the number, and it still held the requests of the process before. Its grant for one of them was taken for the answer to the request with the same number of the new process, whatever the service of that one.

Change: the first number of a process comes from its incarnation, 64 random bits. Two processes of an instance meet with a probability of about 2^-30 after a billion requests. The format of the datagrams stays as it is, so that old and new processes work together. Weighed against it: the incarnation in each datagram, which all leaders would have to compare in queue, placements and releases.

--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -28,6 +28,14 @@
     return hash64(ip, 3);
 }
 
+/// Returns the first ticket number of a process: random, so that its tickets differ from those of
+/// the processes before it. Fits into the signed numbers of the log.
+std::uint64_t firstTicket(std::uint64_t incarnation)
+{
+    constexpr unsigned unusedBits = 2;
+    return incarnation >> unusedBits;
+}
+
 std::int32_t toMicroseconds(Duration duration)
 {
     const auto count = std::chrono::duration_cast<microseconds>(duration).count();
@@ -96,6 +104,7 @@
 
 SlotAllocator::SlotAllocator(Context &context, PeerChannel &peers)
     : m_context(context), m_peers(peers),
+      m_nextTicket(firstTicket(context.membership.self().incarnation)),
       m_localRequests(context.counter(
           "slot_asks_total", "Asks for slots by where they were decided.", {{"decided", "self"}})),
       m_remoteRequests(context.counter("slot_asks_total", "", {{"decided", "peer"}})),
--- a/packages/gateway/src/slotallocator.h
+++ b/packages/gateway/src/slotallocator.h
@@ -23,6 +23,8 @@
 /// Identifies a granted slot or a pending slot request.
 struct SlotTicket
 {
+    /// Used only once by all processes of an instance, because leaders remember the slot requests
+    /// of a process that is gone.
     std::uint64_t number = 0;
     std::string service;
 };
@@ -137,7 +139,7 @@
     std::unordered_map<std::uint64_t, std::string> m_remoteGrants;
     /// IP addresses of instances by instanceKey().
     std::unordered_map<std::uint64_t, std::string> m_instanceIps;
-    std::uint64_t m_nextTicket = 1;
+    std::uint64_t m_nextTicket;
     metrics::Counter &m_localRequests;
     metrics::Counter &m_remoteRequests;
     metrics::Counter &m_fallbackRequests;
