Gateway: Send a request to servers of its own service only

Cause: the instance that has the request sent it to whichever server the leader granted, and the id in the request named that server, so that the server accepted it. The leader's table can be older: a server that registers again under its id for another service stays a server of the former service for the leader until it reads the record.

Which service a request may go to is now checked by the instance that has the request, with its own table, like all that must not go wrong.

--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -194,13 +194,14 @@
             retryOrFail("server_paused");
         return;
     }
-    if (!isKnown) {
-        // This instance already knows that the server is leaving; the leader of the service does
-        // not.
+    // The leader's table can be older than that of this instance: the server may be leaving, or may
+    // have registered again for another service.
+    const bool isOfService = isKnown && m_attempts[index].server.service == m_plan.service;
+    if (!isOfService) {
         m_excludedServers.push_back(slot.server);
         endAttempt(index, broker::AttemptOutcome::Cancelled, std::nullopt);
         if (!isHedge)
-            retryOrFail("server_left");
+            retryOrFail(isKnown ? "server_of_other_service" : "server_left");
         return;
     }
     send(index);
