Gateway: Answer every request before a planned stop ends

Cause: a planned stop refuses new requests that can't end in time, but left those in work as they were. Their deadlines could lie after the end of the process, which did not wait for them and gave them no answer.

Evidence: `stopped` counted three requests in work and three that waited for a slot at each of two stops, where three were cut off. Ruled out: an answer that was not written (no request_failed or request_answered of these requests in the log), and a connection that was closed as idle (its request was in work until the end).

Change: at the start of the stop the deadline of each request becomes the end of the process less 100 ms, with one timer for all kinds of waiting: 503 while nothing was sent, otherwise 504 in place of a connection that just closes. A request that waits for a slot is requested again with that deadline, so that the leader refuses it as soon as no server can answer it in the time left, and the caller can go to another instance. Weighed against it: to refuse all waiting requests at once, which would turn away those that get a slot in time.

--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -81,12 +81,12 @@
 Call::Call(RequestPath &path, std::shared_ptr<loop::HttpExchange> exchange)
     : m_path(path), m_activeCalls(path.m_activeCalls), m_exchange(std::move(exchange))
 {
-    ++*m_activeCalls;
+    m_activeCalls->insert(this);
 }
 
 Call::~Call()
 {
-    --*m_activeCalls;
+    m_activeCalls->erase(this);
 }
 
 void Call::start(Plan plan)
@@ -110,6 +110,30 @@
     requestSlot(false);
 }
 
+void Call::endBy(TimePoint deadline)
+{
+    if (m_isFinished || m_plan.deadline <= deadline)
+        return;
+    m_plan.deadline = deadline;
+    m_endsWithStop = true;
+    logEvent(EventLog::Level::Info, "deadline_shortened", [this](LogLine &line) {
+        line.milliseconds("deadline", m_plan.deadline - m_plan.arrived)
+            .flag("waiting", m_pendingSlot.has_value());
+    });
+    const auto self = shared_from_this();
+    m_path.m_context.timers.cancel(m_deadlineTimer);
+    m_deadlineTimer =
+        m_path.m_context.timers.callAt(m_plan.deadline, [self] { self->handleDeadline(); });
+    if (!m_pendingSlot)
+        return;
+    // The leader refuses the request as soon as no server can answer it in the time that is left,
+    // so that the caller can send it to another instance.
+    m_path.m_slotAllocator.cancel(*m_pendingSlot);
+    m_pendingSlot.reset();
+    --m_slotRequests;
+    requestSlot(false);
+}
+
 void Call::requestSlot(bool isHedge)
 {
     AllocationRequest request;
@@ -463,8 +487,10 @@
         return;
     }
     const bool wasSent = hasRunningAttempt() || m_mayHaveRun;
-    fail(wasSent ? 504 : 503, wasSent ? "deadline_passed" : "deadline_passed_waiting",
-         milliseconds(100));
+    const std::string_view reason = m_endsWithStop ? "stopping"
+        : wasSent                                  ? "deadline_passed"
+                                                   : "deadline_passed_waiting";
+    fail(wasSent ? 504 : 503, reason, milliseconds(100));
 }
 
 void Call::handleCallerDisconnect()
--- a/packages/gateway/src/call.h
+++ b/packages/gateway/src/call.h
@@ -31,6 +31,8 @@
     };
 
     void start(Plan plan);
+    /// Ends the call by \a deadline, because the instance stops then.
+    void endBy(TimePoint deadline);
 
 private:
     /// One attempt to run the request on a backend server.
@@ -85,7 +87,7 @@
     }
 
     RequestPath &m_path;
-    std::shared_ptr<std::size_t> m_activeCalls;
+    std::shared_ptr<std::unordered_set<Call *>> m_activeCalls;
     std::shared_ptr<loop::HttpExchange> m_exchange;
     Plan m_plan;
     std::vector<Attempt> m_attempts;
@@ -100,6 +102,8 @@
     unsigned m_pausedGrants = 0;
     unsigned m_hedgeRefusals = 0;
     bool m_mayHaveRun = false;
+    /// The deadline is that of a planned stop.
+    bool m_endsWithStop = false;
     bool m_isFinished = false;
     /// Error response of a backend server, sent to the caller if no later attempt succeeds.
     std::optional<loop::HttpResponse> m_failureResponse;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -24,6 +24,9 @@
 /// Time before the end of the process in which no request is accepted any more.
 constexpr Duration stopListeningBefore = milliseconds(1100);
 constexpr Duration stopReserve = milliseconds(500);
+/// Every request has its response this long before the end of the process, so that the response is
+/// written.
+constexpr Duration lastResponseMargin = milliseconds(100);
 /// Connections of callers are closed during a stop when nothing was sent on them for this long.
 constexpr Duration minIdleBeforeClose = milliseconds(300);
 
@@ -275,7 +278,7 @@
     for (const Duration delay : announcements)
         self.context.timers.callAfter(delay, [&self] { self.peers.announce(); });
     self.callers.closeAfterResponses();
-    self.path.stopBy(end);
+    self.path.stopBy(end - lastResponseMargin);
     self.context.timers.callAt(end - stopListeningBefore, [&self, finished, end] {
         self.callers.stopAccepting();
         self.finishStop(finished, end);
--- a/packages/gateway/src/requestpath.cpp
+++ b/packages/gateway/src/requestpath.cpp
@@ -36,7 +36,7 @@
     : m_context(context), m_slotAllocator(slotAllocator), m_pool(pool)
 {
     m_context.metrics.gauge("apricotrock_requests_in_work", "Requests without a final answer.", {},
-                            [this] { return static_cast<double>(*m_activeCalls); });
+                            [this] { return static_cast<double>(m_activeCalls->size()); });
 }
 
 void RequestPath::countAnswer(int status, std::string_view reason)
@@ -97,6 +97,19 @@
     exchange->respond(status, headers, text, false);
 }
 
+void RequestPath::stopBy(TimePoint deadline)
+{
+    m_stopBy = deadline;
+    const std::vector<Call *> all(m_activeCalls->begin(), m_activeCalls->end());
+    for (Call *each : all) {
+        // The end of one call may release the last reference to another one.
+        if (!m_activeCalls->contains(each))
+            continue;
+        if (const auto held = each->weak_from_this().lock())
+            held->endBy(deadline);
+    }
+}
+
 const fleet::Route *RequestPath::findRoute(const loop::HttpRequest &request) const
 {
     const std::string_view host = loop::findHeader(request.headers, "host").value_or("");
--- a/packages/gateway/src/requestpath.h
+++ b/packages/gateway/src/requestpath.h
@@ -4,6 +4,7 @@
 #include "slotallocator.h"
 
 #include <random>
+#include <unordered_set>
 
 namespace apricotrock::gateway {
 
@@ -18,9 +19,10 @@
     void handle(const std::shared_ptr<loop::HttpExchange> &exchange);
     /// True for requests that may be handled at the same time as others of their connection.
     [[nodiscard]] bool mayOverlap(const loop::HttpRequest &request) const;
-    /// Requests that can't be finished by \a deadline are refused from now on.
-    void stopBy(TimePoint deadline) { m_stopBy = deadline; }
-    [[nodiscard]] std::size_t activeCalls() const { return *m_activeCalls; }
+    /// Refuses requests that can't be finished by \a deadline from now on, and ends all others by
+    /// then, with a response.
+    void stopBy(TimePoint deadline);
+    [[nodiscard]] std::size_t activeCalls() const { return m_activeCalls->size(); }
 
 private:
     friend class Call;
@@ -47,7 +49,8 @@
     std::mt19937_64 m_random{std::random_device{}()};
     std::optional<TimePoint> m_stopBy;
     /// Shared, because calls in timers and handlers may be destroyed last when the process ends.
-    std::shared_ptr<std::size_t> m_activeCalls = std::make_shared<std::size_t>(0);
+    std::shared_ptr<std::unordered_set<Call *>> m_activeCalls =
+        std::make_shared<std::unordered_set<Call *>>();
 };
 
 } // namespace apricotrock::gateway
