Gateway: Refuse requests that are still being received when a planned stop ends

Callers saw: a caller whose body was not received completely at the end of a planned stop had its connection closed. Many callers can't tell that from an answer that was lost, and must not send an order again.

Found by looking for other requests that wait when a stop ends. It is refused now with 503 and Retry-After 100 ms before the end of the process, which is true: nothing of it was passed on.

Looked at and left: requests behind another one on their connection that were not passed on. The answer before them says `Connection: close`, by which callers know that they were not read (docs/callers.md).

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -27,6 +27,9 @@
 /// Every request has its response this long before the end of the process, so that the response is
 /// written.
 constexpr Duration lastResponseMargin = milliseconds(100);
+/// Retry-After, in seconds, of requests that are refused because of the stop: other instances
+/// take them at once.
+constexpr const char *stopRetryAfter = "0.1";
 /// Connections of callers are closed during a stop when nothing was sent on them for this long.
 constexpr Duration minIdleBeforeClose = milliseconds(300);
 
@@ -279,6 +282,10 @@
         self.context.timers.callAfter(delay, [&self] { self.peers.announce(); });
     self.callers.closeAfterResponses();
     self.path.stopBy(end - lastResponseMargin);
+    self.context.timers.callAt(end - lastResponseMargin, [&self] {
+        self.callers.refuseIncompleteRequests(503, "this instance stops",
+                                              {{"Retry-After", stopRetryAfter}});
+    });
     self.context.timers.callAt(end - stopListeningBefore, [&self, finished, end] {
         self.callers.stopAccepting();
         self.finishStop(finished, end);
--- a/packages/loop/include/apricotrock/loop.h
+++ b/packages/loop/include/apricotrock/loop.h
@@ -279,7 +279,8 @@
     /// Passes requests to the handler that need not wait for those before them.
     void dispatch();
     [[nodiscard]] bool mayDispatch(std::size_t index) const;
-    void refuse(int status, std::string_view text);
+    /// Refuses a request that is not complete, and closes the connection after the response.
+    void refuse(int status, std::string_view text, const Headers &extraHeaders = {});
     /// Adds the response of \a exchange and writes all that are due.
     void addResponse(HttpExchange &exchange, int status, const Headers &contentHeaders,
                      std::string_view body, bool close);
@@ -294,6 +295,9 @@
     void checkTimeout(TimePoint now);
     /// True while a request has no complete response.
     [[nodiscard]] bool isBusy() const { return !m_exchanges.empty() || m_isWriting; }
+    /// True while the beginning of a request has been received, and all of those before it have
+    /// been responded to.
+    [[nodiscard]] bool isReceiving() const;
     /// True if nothing was received or sent for \a length and nothing waits to be read.
     [[nodiscard]] bool isIdleFor(Duration length, TimePoint now) const;
 
@@ -349,6 +353,9 @@
     /// Closes connections that have no request in progress, were not used for \a minIdle and have
     /// received nothing that is not read yet.
     void closeIdleConnections(Duration minIdle);
+    /// Refuses requests of which only the beginning has been received, and closes their
+    /// connections.
+    void refuseIncompleteRequests(int status, std::string_view text, const Headers &extraHeaders);
     /// Accepts the connections that callers have opened already, and no further ones.
     void stopAccepting();
     [[nodiscard]] std::size_t connections() const { return m_connections->open.size(); }
@@ -359,6 +366,8 @@
 
     void accept();
     void add(asio::ip::tcp::socket socket);
+    /// Returns the open connections, held, because a call of one may close others.
+    [[nodiscard]] std::vector<std::shared_ptr<HttpServerConnection>> openConnections() const;
 
     asio::io_context &m_context;
     asio::ip::tcp::acceptor m_acceptor;
--- a/packages/loop/src/httplistener.cpp
+++ b/packages/loop/src/httplistener.cpp
@@ -18,25 +18,25 @@
 {
     timers.callEvery(timeoutCheckInterval, [this] {
         const TimePoint now = Clock::now();
-        const std::vector<HttpServerConnection *> all(m_connections->open.begin(),
-                                                      m_connections->open.end());
-        for (HttpServerConnection *each : all) {
-            // The check may close the connection, which may release the last reference to it.
-            const auto held = each->weak_from_this().lock();
-            if (held)
-                held->checkTimeout(now);
-        }
+        for (const auto &each : openConnections())
+            each->checkTimeout(now);
     });
 }
 
 HttpListener::~HttpListener()
 {
-    const std::vector<HttpServerConnection *> all(m_connections->open.begin(),
-                                                  m_connections->open.end());
-    for (HttpServerConnection *each : all) {
-        if (const auto held = each->weak_from_this().lock())
-            held->abandon();
+    for (const auto &each : openConnections())
+        each->abandon();
+}
+
+std::vector<std::shared_ptr<HttpServerConnection>> HttpListener::openConnections() const
+{
+    std::vector<std::shared_ptr<HttpServerConnection>> all;
+    for (HttpServerConnection *each : m_connections->open) {
+        if (auto held = each->weak_from_this().lock())
+            all.push_back(std::move(held));
     }
+    return all;
 }
 
 Result<void> HttpListener::listen(const Endpoint &address)
@@ -109,6 +109,15 @@
     }
 }
 
+void HttpListener::refuseIncompleteRequests(int status, std::string_view text,
+                                            const Headers &extraHeaders)
+{
+    for (const auto &each : openConnections()) {
+        if (each->isReceiving())
+            each->refuse(status, text, extraHeaders);
+    }
+}
+
 std::size_t HttpListener::busyConnections() const
 {
     std::size_t count = 0;
--- a/packages/loop/src/httpserverconnection.cpp
+++ b/packages/loop/src/httpserverconnection.cpp
@@ -195,7 +195,7 @@
     }
 }
 
-void HttpServerConnection::refuse(int status, std::string_view text)
+void HttpServerConnection::refuse(int status, std::string_view text, const Headers &extraHeaders)
 {
     if (m_listener.m_onRefusal)
         m_listener.m_onRefusal(status, text);
@@ -205,7 +205,9 @@
         std::make_shared<HttpExchange>(shared_from_this(), HttpRequest(), m_lastRead));
     const std::shared_ptr<HttpExchange> exchange = m_exchanges.back();
     exchange->m_isDispatched = true;
-    exchange->respond(status, {{"Content-Type", "text/plain"}}, text, true);
+    Headers headers{{"Content-Type", "text/plain"}};
+    headers.insert(headers.end(), extraHeaders.begin(), extraHeaders.end());
+    exchange->respond(status, headers, text, true);
 }
 
 void HttpServerConnection::addResponse(HttpExchange &exchange, int status,
@@ -317,6 +319,11 @@
     dropRequests();
 }
 
+bool HttpServerConnection::isReceiving() const
+{
+    return !isBusy() && !m_isLingering && !m_isInputEnded && m_parser->hasStarted;
+}
+
 bool HttpServerConnection::isIdleFor(Duration length, TimePoint now) const
 {
     if (isBusy() || m_isLingering || !m_input.empty() || m_parser->hasStarted
