Gateway: Say that a request did not run while its connection was not open

Callers saw: 504, which promises nothing, for an order whose connection to the server was still being opened at the deadline or at the end of a planned stop. Nothing of it had been sent, but its caller must not send it again.

Cause: an attempt counted as sent from the grant of its slot on. It counts now from the opening of its connection. Before the answer is written nothing can be sent any more: both happen in one handler, and the attempt is closed with it.

`may_have_run` of request_failed follows.

--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -478,6 +478,14 @@
                        [](const Attempt &each) { return each.isRunning; });
 }
 
+bool Call::wasSent() const
+{
+    return m_mayHaveRun
+        || std::any_of(m_attempts.begin(), m_attempts.end(), [](const Attempt &each) {
+               return each.isRunning && each.connection && each.connection->isConnected();
+           });
+}
+
 void Call::handleDeadline()
 {
     m_deadlineTimer = 0;
@@ -486,11 +494,11 @@
         cancelAttempts(broker::AttemptOutcome::TimedOut);
         return;
     }
-    const bool wasSent = hasRunningAttempt() || m_mayHaveRun;
+    const bool mayRun = wasSent();
     const std::string_view reason = m_endsWithStop ? "stopping"
-        : wasSent                                  ? "deadline_passed"
+        : mayRun                                   ? "deadline_passed"
                                                    : "deadline_passed_waiting";
-    fail(wasSent ? 504 : 503, reason, milliseconds(100));
+    fail(mayRun ? 504 : 503, reason, milliseconds(100));
 }
 
 void Call::handleCallerDisconnect()
@@ -570,7 +578,7 @@
         line.number("status", status)
             .text("reason", reason)
             .number("attempts", m_attemptsSent)
-            .flag("may_have_run", m_mayHaveRun || hasRunningAttempt())
+            .flag("may_have_run", wasSent())
             .milliseconds("retry_after", retryAfter)
             .milliseconds("took", latency);
     });
--- a/packages/loop/include/apricotrock/loop.h
+++ b/packages/loop/include/apricotrock/loop.h
@@ -424,6 +424,8 @@
     /// True if the connection is open and can be used for another request.
     [[nodiscard]] bool isReusable() const { return m_isConnected && !m_isClosed && m_isReusable; }
     [[nodiscard]] bool isOpen() const { return !m_isClosed; }
+    /// True once the connection has been opened. Before that no byte of a request is written.
+    [[nodiscard]] bool isConnected() const { return m_isConnected; }
     [[nodiscard]] TimePoint idleSince() const { return m_idleSince; }
     /// The idle timeout that the server announced in its Keep-Alive header, if any.
     [[nodiscard]] std::optional<Duration> serverIdleTimeout() const { return m_serverIdleTimeout; }
