Gateway: Keep records that name no server without their contents

Callers would see: requests sent to servers that are gone, and none to new ones, by an instance that can't read the store, after another writer replaced the record of a server by 256 KB that can't be read.

Cause: the reader passes records on to the other instances as the store holds them. The contents of such a record do not fit into a datagram, the datagram was not sent, and the instance learned neither of the change nor of the position after it. What the others need to know is that the record names no server; they get it without its contents now, which also saves the memory for it.

--- a/packages/gateway/src/tablesync.cpp
+++ b/packages/gateway/src/tablesync.cpp
@@ -331,15 +331,21 @@
         fleet::ServerRecord each{record.key, record.offset, std::nullopt};
         if (record.value)
             each.entry = m_context.adapter.decodeServer(record.key, *record.value);
-        if (record.value && !each.entry)
+        const bool isUnreadable = record.value && !each.entry;
+        if (isUnreadable)
             m_context
                 .counter("server_records_unreadable_total",
                          "Records of backend servers that name no usable server.")
                 .add();
         decoded.push_back(std::move(each));
         StoredRecord &known = m_records[record.key];
-        if (record.offset >= known.offset)
-            known = record;
+        if (record.offset < known.offset)
+            continue;
+        known = record;
+        // Peers need to know only that the record names no server. It can be too large for a
+        // datagram.
+        if (isUnreadable)
+            known.value.reset();
     }
     const auto changes = isSnapshot ? m_context.servers.mergeSnapshot(decoded, end, now)
                                     : m_context.servers.merge(decoded, now);
