Loop: Refuse a response that continues a line of an earlier one

Cause: an answer that breaks off in its status line, or in the value of a header, and the whole answer behind it make one head for the parser: the status of the first one with the headers of the second one, id and signature included.

Ruled out: a check of the reason phrase alone, which misses a cut in a header ahead of the id.

Before: ExtraResponseTest::beginningOfAnExtraResponseDoesNotChangeTheNextOne failed in 2 of 2 runs, 503 expected and 200 received after `HTTP/1.1 200 `.

--- a/packages/loop/include/apricotrock/loop.h
+++ b/packages/loop/include/apricotrock/loop.h
@@ -440,6 +440,8 @@
     void parseReceived();
     /// Returns why the received bytes exceed the limits, or an empty text.
     [[nodiscard]] std::string_view exceededLimit();
+    /// True if the parsed response continues a line of an earlier one that broke off.
+    [[nodiscard]] bool isJoined() const;
     void handleResponse();
     void fail(ClientStatus status, std::string detail);
 
@@ -464,6 +466,8 @@
     TimePoint m_idleSince;
     std::optional<Duration> m_serverIdleTimeout;
     bool m_isConnected = false;
+    /// The connection has carried a complete response, of which more bytes may follow late.
+    bool m_hasReceived = false;
     bool m_isClosed = false;
     bool m_isReading = false;
     bool m_isWritten = false;
--- a/packages/loop/src/httpclientconnection.cpp
+++ b/packages/loop/src/httpclientconnection.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace apricotrock::loop {
@@ -30,6 +31,23 @@
     return std::chrono::seconds(seconds);
 }
 
+/// True if \a text contains the beginning of a response: the version, a space and a status.
+bool containsStatusLine(std::string_view text)
+{
+    constexpr std::string_view form = "HTTP/0.0 000";
+    for (std::size_t at = text.find("HTTP/"); at != std::string_view::npos;
+         at = text.find("HTTP/", at + 1)) {
+        const std::string_view found = text.substr(at, form.size());
+        const bool hasForm = found.size() == form.size()
+            && std::equal(found.begin(), found.end(), form.begin(), [](char each, char wanted) {
+                                 return wanted == '0' ? each >= '0' && each <= '9' : each == wanted;
+                             });
+        if (hasForm)
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 ByteLease::~ByteLease()
@@ -178,6 +196,10 @@
         }
         if (!m_parser->isComplete)
             return;
+        if (m_hasReceived && isJoined()) {
+            fail(ClientStatus::InvalidResponse, "bytes of another response before the response");
+            return;
+        }
         if (m_parser->parser.status_code / 100 == 1) {
             m_parser->reset();
             m_parser->isHead = m_isHead;
@@ -187,6 +209,14 @@
     }
 }
 
+bool HttpClientConnection::isJoined() const
+{
+    // Elsewhere the joined bytes are invalid or belong to a response with another id.
+    return containsStatusLine(m_parser->reason)
+        || std::any_of(m_parser->headers.begin(), m_parser->headers.end(),
+                       [](const auto &each) { return containsStatusLine(each.value); });
+}
+
 std::string_view HttpClientConnection::exceededLimit()
 {
     const std::size_t body = m_parser->body.size();
@@ -212,6 +242,7 @@
     response.keepAlive = m_parser->keepAlive && !m_parser->needsEnd;
     m_parser->reset();
     m_parser->isHead = m_isHead;
+    m_hasReceived = true;
     if (m_filter && !m_filter(response)) {
         // A late response to an earlier request; the response to this request may still follow.
         m_discardedBodyBytes += response.body.size();
