Broker: Let the next leader know the crashes that a request has caused

Cause: crashes were counted in the memory of the leader only; docs/gateway.md named it as a limit.

Change: from the second crash of a request on, the leader tells all instances which processes crashed, and instances that join get it with the list of instances. Each process counts once, so that reports may come twice, late or from two leaders. An answer to such a request ends the suspicion everywhere. Weighed against it: reports of single crashes too, most of which concern requests that only ran beside the cause, and counts in the store, which can be down.

--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -140,6 +140,8 @@
     bool isUsable = true;
     TimePoint slowStartUntil;
     std::uint32_t zone = 0;
+    /// Distinguishes processes of the server that have the same key.
+    std::uint64_t process = 0;
 };
 
 struct Policy
@@ -181,10 +183,22 @@
 /// Crashes of servers that were running requests with the same fingerprint.
 struct CrashSuspect
 {
-    unsigned crashes = 0;
+    /// Identifies the crashed processes, so that each counts once, whoever reports it. Limited to
+    /// the number that matters.
+    std::vector<std::uint64_t> processes;
     TimePoint last;
 };
 
+/// What one instance tells others about the crashes of one fingerprint.
+struct CrashReport
+{
+    std::uint64_t fingerprint = 0;
+    /// As CrashSuspect::processes; empty if a server has answered such a request since.
+    std::vector<std::uint64_t> processes;
+    /// Time since the last of the crashes.
+    Duration age{};
+};
+
 struct ServerState
 {
     ServerInfo info;
@@ -263,6 +277,8 @@
     /// than others only by what its own share exceeds this.
     double meanFailureShare = 0;
     std::unordered_map<std::uint64_t, CrashSuspect> crashSuspects;
+    /// Fingerprints whose crashes the other instances have to learn of; see takeCrashReports().
+    std::vector<std::uint64_t> changedSuspects;
     /// Pauses by the instance (AttemptKey::instance) that they apply to; one for each server.
     std::unordered_map<std::uint64_t, std::vector<ServerPause>> pauses;
     std::vector<AttemptRequest> queue;
@@ -309,6 +325,14 @@
 /// Records a probe without a usable answer.
 void recordProbeFailure(ServiceState &state, ServerKey server, TimePoint now);
 
+/// Returns the crashes that the next leader has to know and that are new since the last call.
+/// Single crashes are not reported: most are those of requests that only ran beside the cause.
+std::vector<CrashReport> takeCrashReports(ServiceState &state, TimePoint now);
+/// Returns all crashes that the next leader has to know.
+std::vector<CrashReport> allCrashReports(const ServiceState &state, TimePoint now);
+/// Adds what another instance reported. Reports may arrive more than once and in any order.
+void applyCrashReport(ServiceState &state, const CrashReport &report, TimePoint now);
+
 /// Returns the shortest time between two passes over the queue: 0 if the service is small,
 /// otherwise in proportion to the number of servers and queued requests, because the number of
 /// events grows with both.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -94,6 +94,7 @@
                 [this](const auto &ip, const auto &end) { slotAllocator.handleRelease(ip, end); },
                 [this](const auto &ip, const auto &message) { tables.handleTables(ip, message); },
                 [this](const auto &leaving) { tables.handleLeaving(leaving, "peer", false); },
+                [this](const auto &crash) { slotAllocator.handleCrashReport(crash); },
                 [this](const auto &ip) { peerChanged(ip, "peer_joined"); },
                 [this](const auto &ip) { peerChanged(ip, "peer_lost"); }};
     }
@@ -231,6 +232,7 @@
         [&self](const loop::HttpRequest &request) { return self.path.mayOverlap(request); });
     self.peers.setTableState([&self] { return self.tables.state(); });
     self.peers.setLeavingServers([&self] { return self.context.servers.leavingServers(); });
+    self.peers.setCrashReports([&self] { return self.slotAllocator.crashReports(); });
     auto result = self.peers.start();
     if (result)
         result = self.tables.start();
--- a/packages/gateway/src/peerchannel.cpp
+++ b/packages/gateway/src/peerchannel.cpp
@@ -27,8 +27,9 @@
 /// Number of instances of another availability zone that an instance of a large fleet contacts.
 /// More would let the messages of a start grow with the square of the fleet.
 constexpr std::size_t contactsPerZone = 4;
-/// The same for leaving backend servers.
+/// The same for leaving backend servers, and for reports of crashes.
 constexpr std::size_t leavingPerDatagram = 30;
+constexpr std::size_t crashesPerDatagram = 20;
 
 fleet::InstanceInfo toInfo(const std::string &ip, const wire::SenderReportT &report)
 {
@@ -42,6 +43,17 @@
     return info;
 }
 
+/// Adds the reports from \a first on to \a message, up to the size of a datagram, and returns the
+/// index of the next one.
+std::size_t addCrashes(const std::vector<wire::CrashReportT> &reports, std::size_t first,
+                       wire::GatewayMessageT &message)
+{
+    const std::size_t end = std::min(reports.size(), first + crashesPerDatagram);
+    for (std::size_t i = first; i < end; ++i)
+        message.crashes.push_back(std::make_unique<wire::CrashReportT>(reports[i]));
+    return end;
+}
+
 /// Adds the servers from \a first on to \a message, up to the size of a datagram, and returns the
 /// index of the next one.
 std::size_t addLeaving(const std::vector<fleet::LeavingServer> &servers, std::size_t first,
@@ -223,6 +235,16 @@
     }
 }
 
+void PeerChannel::broadcastCrashes(const std::vector<wire::CrashReportT> &reports)
+{
+    std::size_t next = 0;
+    while (next < reports.size()) {
+        wire::GatewayMessageT message = ownState(false);
+        next = addCrashes(reports, next, message);
+        broadcastTables(message);
+    }
+}
+
 void PeerChannel::announceTables(Scope scope)
 {
     if (!m_context.membership.usesZoneReports()) {
@@ -327,6 +349,14 @@
         next = addLeaving(leaving, next, message);
         send(ip, message);
     }
+    const std::vector<wire::CrashReportT> crashes =
+        m_crashReports ? m_crashReports() : std::vector<wire::CrashReportT>();
+    next = 0;
+    while (next < crashes.size()) {
+        message = ownState(false);
+        next = addCrashes(crashes, next, message);
+        send(ip, message);
+    }
 }
 
 void PeerChannel::forwardNewInstances()
@@ -515,6 +545,8 @@
             leaving.push_back({each->id, each->process_start_ms});
         m_handlers.leaving(leaving);
     }
+    for (const auto &each : message.crashes)
+        m_handlers.crash(*each);
     for (const wire::SlotRelease &each : message.ends)
         m_handlers.slotRelease(ip, each);
     for (const wire::SlotRequest &each : message.asks)
--- a/packages/gateway/src/peerchannel.h
+++ b/packages/gateway/src/peerchannel.h
@@ -21,6 +21,7 @@
         std::function<void(const std::string &ip, const wire::GatewayMessageT &)> tables;
         /// Called with backend servers that said that they leave.
         std::function<void(const std::vector<fleet::LeavingServer> &)> leaving;
+        std::function<void(const wire::CrashReportT &)> crash;
         /// Called when an instance appears or comes back.
         std::function<void(const std::string &ip)> joined;
         std::function<void(const std::string &ip)> lost;
@@ -57,6 +58,13 @@
     }
     /// Tells every live instance that backend servers leave.
     void broadcastLeaving(const std::vector<fleet::LeavingServer> &servers);
+    /// Sets the function that returns the known crashes, for instances that join.
+    void setCrashReports(std::function<std::vector<wire::CrashReportT>()> reports)
+    {
+        m_crashReports = std::move(reports);
+    }
+    /// Tells every live instance of crashes of backend servers.
+    void broadcastCrashes(const std::vector<wire::CrashReportT> &reports);
 
     /// Returns the number of datagrams received since the last call.
     std::uint64_t takeReceived() { return std::exchange(m_received, 0); }
@@ -98,6 +106,7 @@
     std::map<std::string, wire::GatewayMessageT> m_pending;
     std::function<wire::TableState()> m_tableState;
     std::function<std::vector<fleet::LeavingServer>()> m_leavingServers;
+    std::function<std::vector<wire::CrashReportT>()> m_crashReports;
     std::vector<wire::InstanceAddressT> m_newInstances;
     bool m_isFlushPosted = false;
     TimePoint m_started;
--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -20,6 +20,10 @@
 constexpr Duration queuePassInterval = milliseconds(5);
 /// After a slot request of a peer, this instance counts as leader of the service for this long.
 constexpr Duration peerRequestWindow = milliseconds(1000);
+/// Delays of the repetitions of a report of crashes.
+constexpr std::array<Duration, 2> crashReportRepetitions = {milliseconds(300), milliseconds(1000)};
+/// Bound of the reports about services that are not known yet.
+constexpr std::size_t maxEarlyCrashReports = 1000;
 /// The servers of a service are not probed when nobody has requested a slot for this long.
 constexpr Duration idleProbeTime = milliseconds(5000);
 
@@ -100,6 +104,17 @@
             leaving ? leaving->processStartMs : 0};
 }
 
+wire::CrashReportT encodeCrashReport(std::uint64_t service, const broker::CrashReport &report)
+{
+    wire::CrashReportT message;
+    message.service = service;
+    message.fingerprint = report.fingerprint;
+    message.processes = report.processes;
+    message.age_ms =
+        static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(report.age).count());
+    return message;
+}
+
 } // namespace
 
 SlotAllocator::SlotAllocator(Context &context, PeerChannel &peers)
@@ -197,6 +212,9 @@
     created.state.policy = m_context.settings.policy;
     updateServers(created);
     updateLeader(created, Clock::now());
+    const auto early = std::exchange(m_earlyCrashReports, {});
+    for (const wire::CrashReportT &each : early)
+        handleCrashReport(each);
     return created;
 }
 
@@ -213,7 +231,8 @@
         if (!fleet::ServerDirectory::isUsable(server) || server.entry->service != service.name)
             continue;
         infos.push_back({serverKey(id), std::max(1U, server.entry->slots), true,
-                         server.slowStartUntil, zoneKey(server.entry->availabilityZone)});
+                         server.slowStartUntil, zoneKey(server.entry->availabilityZone),
+                         server.entry->processStartMs});
     }
     broker::setServers(service.state, infos);
 }
@@ -400,6 +419,7 @@
         m_context.serverLeaving({leaving->id, leaving->processStartMs}, !isRemote);
     // Updates the local state too, for slots that this instance has to grant by itself later.
     broker::recordAttemptEnd(service.state, end, Clock::now());
+    shareCrashes(service);
     processQueue(service);
 }
 
@@ -413,7 +433,67 @@
 
 void SlotAllocator::recordProbeFailure(const std::string &service, broker::ServerKey server)
 {
-    broker::recordProbeFailure(serviceSlots(service).state, server, Clock::now());
+    ServiceSlots &each = serviceSlots(service);
+    broker::recordProbeFailure(each.state, server, Clock::now());
+    shareCrashes(each);
+}
+
+void SlotAllocator::shareCrashes(ServiceSlots &service)
+{
+    const auto reports = broker::takeCrashReports(service.state, Clock::now());
+    if (reports.empty() || !service.state.isLeading)
+        return;
+    const std::uint64_t key = serviceKey(service.name);
+    std::vector<wire::CrashReportT> messages;
+    for (const broker::CrashReport &each : reports) {
+        messages.push_back(encodeCrashReport(key, each));
+        m_context.log.write(EventLog::Level::Warning, "crashes_counted", [&](LogLine &line) {
+            line.text("service", service.name)
+                .number("fingerprint", static_cast<std::int64_t>(each.fingerprint))
+                .number("crashes", static_cast<std::int64_t>(each.processes.size()));
+        });
+    }
+    m_peers.broadcastCrashes(messages);
+    for (const Duration delay : crashReportRepetitions)
+        m_context.timers.callAfter(delay,
+                                   [this, key, reports] { repeatCrashReports(key, reports); });
+}
+
+void SlotAllocator::repeatCrashReports(std::uint64_t service,
+                                       const std::vector<broker::CrashReport> &reports)
+{
+    const ServiceSlots *slots = findServiceSlots(service);
+    if (!slots)
+        return;
+    // What has changed since has been reported by itself.
+    std::vector<wire::CrashReportT> messages;
+    for (const broker::CrashReport &each : reports) {
+        const bool isSuspect = slots->state.crashSuspects.contains(each.fingerprint);
+        if (isSuspect != each.processes.empty())
+            messages.push_back(encodeCrashReport(service, each));
+    }
+    m_peers.broadcastCrashes(messages);
+}
+
+std::vector<wire::CrashReportT> SlotAllocator::crashReports() const
+{
+    std::vector<wire::CrashReportT> messages;
+    for (const auto &[key, service] : m_services) {
+        for (const broker::CrashReport &each : broker::allCrashReports(service.state, Clock::now()))
+            messages.push_back(encodeCrashReport(key, each));
+    }
+    return messages;
+}
+
+void SlotAllocator::handleCrashReport(const wire::CrashReportT &report)
+{
+    ServiceSlots *service = findServiceSlots(report.service);
+    if (service)
+        broker::applyCrashReport(
+            service->state, {report.fingerprint, report.processes, milliseconds(report.age_ms)},
+            Clock::now());
+    else if (m_earlyCrashReports.size() < maxEarlyCrashReports)
+        m_earlyCrashReports.push_back(report);
 }
 
 std::vector<SlotAllocator::DueProbe> SlotAllocator::takeDueProbes()
@@ -571,6 +651,7 @@
         const DecisionTimer timer(*this, *service);
         broker::release(service->state, end, Clock::now());
     }
+    shareCrashes(*service);
     processQueue(*service);
 }
 
--- a/packages/gateway/src/slotallocator.h
+++ b/packages/gateway/src/slotallocator.h
@@ -78,6 +78,10 @@
     /// Returns the due probes of the services that this instance leads.
     std::vector<DueProbe> takeDueProbes();
 
+    /// Returns the crashes that an instance has to know when it becomes the leader of a service.
+    [[nodiscard]] std::vector<wire::CrashReportT> crashReports() const;
+
+    void handleCrashReport(const wire::CrashReportT &report);
     void handleRequest(const std::string &ip, const wire::SlotRequest &ask);
     void handleResponse(const std::string &ip, const wire::SlotResponse &answer);
     void handleRelease(const std::string &ip, const wire::SlotRelease &end);
@@ -119,6 +123,10 @@
     ServiceSlots *findServiceSlots(std::uint64_t key);
     void updateServers(ServiceSlots &service);
     void updateLeader(ServiceSlots &service, TimePoint now);
+    /// Tells the other instances of new crashes in a service that this instance leads.
+    void shareCrashes(ServiceSlots &service);
+    /// Tells them again, in case a datagram was lost.
+    void repeatCrashReports(std::uint64_t service, const std::vector<broker::CrashReport> &reports);
     void sendRequest(std::uint64_t ticket);
     void handleRequestTimeout(std::uint64_t ticket);
     void fallBackToLocal(std::uint64_t ticket);
@@ -140,6 +148,8 @@
     std::unordered_map<std::uint64_t, PendingRequest> m_pendingRequests;
     /// IP addresses of the leaders that granted the slots, by ticket.
     std::unordered_map<std::uint64_t, std::string> m_remoteGrants;
+    /// Reports about services that are not known yet.
+    std::vector<wire::CrashReportT> m_earlyCrashReports;
     /// IP addresses of instances by instanceKey().
     std::unordered_map<std::uint64_t, std::string> m_instanceIps;
     std::uint64_t m_nextTicket;
--- a/packages/wire/include/apricotrock/gateway_generated.h
+++ b/packages/wire/include/apricotrock/gateway_generated.h
@@ -48,6 +48,10 @@
 struct LeavingServerBuilder;
 struct LeavingServerT;
 
+struct CrashReport;
+struct CrashReportBuilder;
+struct CrashReportT;
+
 struct ServerUpdates;
 struct ServerUpdatesBuilder;
 struct ServerUpdatesT;
@@ -1011,6 +1015,113 @@
 
 flatbuffers::Offset<LeavingServer> CreateLeavingServer(flatbuffers::FlatBufferBuilder &_fbb, const LeavingServerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct CrashReportT : public flatbuffers::NativeTable {
+  typedef CrashReport TableType;
+  uint64_t service = 0;
+  uint64_t fingerprint = 0;
+  std::vector<uint64_t> processes{};
+  uint32_t age_ms = 0;
+};
+
+struct CrashReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashReportT NativeTableType;
+  typedef CrashReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_FINGERPRINT = 6,
+    VT_PROCESSES = 8,
+    VT_AGE_MS = 10
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  uint64_t fingerprint() const {
+    return GetField<uint64_t>(VT_FINGERPRINT, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *processes() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PROCESSES);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
+           VerifyOffset(verifier, VT_PROCESSES) &&
+           verifier.VerifyVector(processes()) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  CrashReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CrashReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CrashReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CrashReportBuilder {
+  typedef CrashReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(CrashReport::VT_SERVICE, service, 0);
+  }
+  void add_fingerprint(uint64_t fingerprint) {
+    fbb_.AddElement<uint64_t>(CrashReport::VT_FINGERPRINT, fingerprint, 0);
+  }
+  void add_processes(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> processes) {
+    fbb_.AddOffset(CrashReport::VT_PROCESSES, processes);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(CrashReport::VT_AGE_MS, age_ms, 0);
+  }
+  explicit CrashReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashReport> CreateCrashReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint64_t fingerprint = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> processes = 0,
+    uint32_t age_ms = 0) {
+  CrashReportBuilder builder_(_fbb);
+  builder_.add_fingerprint(fingerprint);
+  builder_.add_service(service);
+  builder_.add_age_ms(age_ms);
+  builder_.add_processes(processes);
+  return builder_.Finish();
+}
+
+struct CrashReport::Traits {
+  using type = CrashReport;
+  static auto constexpr Create = CreateCrashReport;
+};
+
+inline flatbuffers::Offset<CrashReport> CreateCrashReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint64_t fingerprint = 0,
+    const std::vector<uint64_t> *processes = nullptr,
+    uint32_t age_ms = 0) {
+  auto processes__ = processes ? _fbb.CreateVector<uint64_t>(*processes) : 0;
+  return apricotrock::wire::CreateCrashReport(
+      _fbb,
+      service,
+      fingerprint,
+      processes__,
+      age_ms);
+}
+
+flatbuffers::Offset<CrashReport> CreateCrashReport(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ServerUpdatesT : public flatbuffers::NativeTable {
   typedef ServerUpdates TableType;
   std::vector<std::unique_ptr<apricotrock::wire::ServerUpdateT>> updates{};
@@ -1101,6 +1212,7 @@
   uint32_t unpacked_configuration_bytes = 0;
   uint64_t updates_from = 0;
   uint8_t relay = 0;
+  std::vector<std::unique_ptr<apricotrock::wire::CrashReportT>> crashes{};
   GatewayMessageT() = default;
   GatewayMessageT(const GatewayMessageT &o);
   GatewayMessageT(GatewayMessageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1126,7 +1238,8 @@
     VT_PACKED_CONFIGURATION = 26,
     VT_UNPACKED_CONFIGURATION_BYTES = 28,
     VT_UPDATES_FROM = 30,
-    VT_RELAY = 32
+    VT_RELAY = 32,
+    VT_CRASHES = 34
   };
   const apricotrock::wire::SenderReport *self() const {
     return GetPointer<const apricotrock::wire::SenderReport *>(VT_SELF);
@@ -1173,6 +1286,9 @@
   uint8_t relay() const {
     return GetField<uint8_t>(VT_RELAY, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::CrashReport>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::CrashReport>> *>(VT_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SELF) &&
@@ -1201,6 +1317,9 @@
            VerifyField<uint32_t>(verifier, VT_UNPACKED_CONFIGURATION_BYTES, 4) &&
            VerifyField<uint64_t>(verifier, VT_UPDATES_FROM, 8) &&
            VerifyField<uint8_t>(verifier, VT_RELAY, 1) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
            verifier.EndTable();
   }
   GatewayMessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1257,6 +1376,9 @@
   void add_relay(uint8_t relay) {
     fbb_.AddElement<uint8_t>(GatewayMessage::VT_RELAY, relay, 0);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::CrashReport>>> crashes) {
+    fbb_.AddOffset(GatewayMessage::VT_CRASHES, crashes);
+  }
   explicit GatewayMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1284,10 +1406,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> packed_configuration = 0,
     uint32_t unpacked_configuration_bytes = 0,
     uint64_t updates_from = 0,
-    uint8_t relay = 0) {
+    uint8_t relay = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::CrashReport>>> crashes = 0) {
   GatewayMessageBuilder builder_(_fbb);
   builder_.add_updates_from(updates_from);
   builder_.add_incarnation(incarnation);
+  builder_.add_crashes(crashes);
   builder_.add_unpacked_configuration_bytes(unpacked_configuration_bytes);
   builder_.add_packed_configuration(packed_configuration);
   builder_.add_unpacked_bytes(unpacked_bytes);
@@ -1325,7 +1449,8 @@
     const std::vector<uint8_t> *packed_configuration = nullptr,
     uint32_t unpacked_configuration_bytes = 0,
     uint64_t updates_from = 0,
-    uint8_t relay = 0) {
+    uint8_t relay = 0,
+    const std::vector<flatbuffers::Offset<apricotrock::wire::CrashReport>> *crashes = nullptr) {
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotRequest>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotResponse>(*answers) : 0;
   auto ends__ = ends ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotRelease>(*ends) : 0;
@@ -1333,6 +1458,7 @@
   auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::LeavingServer>>(*leaving) : 0;
   auto packed_updates__ = packed_updates ? _fbb.CreateVector<uint8_t>(*packed_updates) : 0;
   auto packed_configuration__ = packed_configuration ? _fbb.CreateVector<uint8_t>(*packed_configuration) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::CrashReport>>(*crashes) : 0;
   return apricotrock::wire::CreateGatewayMessage(
       _fbb,
       self,
@@ -1349,7 +1475,8 @@
       packed_configuration__,
       unpacked_configuration_bytes,
       updates_from,
-      relay);
+      relay,
+      crashes__);
 }
 
 flatbuffers::Offset<GatewayMessage> CreateGatewayMessage(flatbuffers::FlatBufferBuilder &_fbb, const GatewayMessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1564,6 +1691,41 @@
       _process_start_ms);
 }
 
+inline CrashReportT *CrashReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CrashReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashReport::UnPackTo(CrashReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); _o->service = _e; }
+  { auto _e = fingerprint(); _o->fingerprint = _e; }
+  { auto _e = processes(); if (_e) { _o->processes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->processes[_i] = _e->Get(_i); } } }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<CrashReport> CrashReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashReport> CreateCrashReport(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service;
+  auto _fingerprint = _o->fingerprint;
+  auto _processes = _o->processes.size() ? _fbb.CreateVector(_o->processes) : 0;
+  auto _age_ms = _o->age_ms;
+  return apricotrock::wire::CreateCrashReport(
+      _fbb,
+      _service,
+      _fingerprint,
+      _processes,
+      _age_ms);
+}
+
 inline ServerUpdatesT::ServerUpdatesT(const ServerUpdatesT &o) {
   updates.reserve(o.updates.size());
   for (const auto &updates_ : o.updates) { updates.emplace_back((updates_) ? new apricotrock::wire::ServerUpdateT(*updates_) : nullptr); }
@@ -1618,6 +1780,8 @@
   for (const auto &instances_ : o.instances) { instances.emplace_back((instances_) ? new apricotrock::wire::InstanceAddressT(*instances_) : nullptr); }
   leaving.reserve(o.leaving.size());
   for (const auto &leaving_ : o.leaving) { leaving.emplace_back((leaving_) ? new apricotrock::wire::LeavingServerT(*leaving_) : nullptr); }
+  crashes.reserve(o.crashes.size());
+  for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new apricotrock::wire::CrashReportT(*crashes_) : nullptr); }
 }
 
 inline GatewayMessageT &GatewayMessageT::operator=(GatewayMessageT o) FLATBUFFERS_NOEXCEPT {
@@ -1636,6 +1800,7 @@
   std::swap(unpacked_configuration_bytes, o.unpacked_configuration_bytes);
   std::swap(updates_from, o.updates_from);
   std::swap(relay, o.relay);
+  std::swap(crashes, o.crashes);
   return *this;
 }
 
@@ -1663,6 +1828,7 @@
   { auto _e = unpacked_configuration_bytes(); _o->unpacked_configuration_bytes = _e; }
   { auto _e = updates_from(); _o->updates_from = _e; }
   { auto _e = relay(); _o->relay = _e; }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<apricotrock::wire::CrashReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<GatewayMessage> GatewayMessage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayMessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1688,6 +1854,7 @@
   auto _unpacked_configuration_bytes = _o->unpacked_configuration_bytes;
   auto _updates_from = _o->updates_from;
   auto _relay = _o->relay;
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::CrashReport>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashReport(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
   return apricotrock::wire::CreateGatewayMessage(
       _fbb,
       _self,
@@ -1704,7 +1871,8 @@
       _packed_configuration,
       _unpacked_configuration_bytes,
       _updates_from,
-      _relay);
+      _relay,
+      _crashes);
 }
 
 inline const apricotrock::wire::GatewayMessage *GetGatewayMessage(const void *buf) {
