--- a/packages/gateway/src/prober.cpp
+++ b/packages/gateway/src/prober.cpp
@@ -51,7 +51,8 @@
     connection->send(
         loop::formatRequest("GET", path, {{"Host", server.address.toString()}}, {}, false), false,
         probeTimeout, nullptr,
-        [this, connection, timer, service, key, server](const loop::ClientResult &result) {
+        [this, weak = std::weak_ptr(connection), timer, service, key,
+         server](const loop::ClientResult &result) {
             m_context.timers.cancel(timer);
             if (result.status != loop::ClientStatus::ResponseReceived) {
                 m_failures.add();
@@ -59,7 +60,8 @@
                     m_slotAllocator.recordProbeFailure(service, key);
                 return;
             }
-            m_pool.giveBack(server, connection);
+            if (const auto used = weak.lock())
+                m_pool.giveBack(server, used);
             const HeaderNames &names = m_context.adapter.headers;
             const auto id = loop::findHeader(result.response.headers, names.serverId);
             const auto header = loop::findHeader(result.response.headers, names.load);
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -301,7 +301,7 @@
         });
     connection->send(
         loop::formatRequest("GET", path, {{"Host", ip}}, {}, false), false, fetchTimeout, nullptr,
-        [this, connection, timer, ip, wantsServers](const loop::ClientResult &result) {
+        [this, timer, ip, wantsServers](const loop::ClientResult &result) {
             m_context.timers.cancel(timer);
             m_isFetching = false;
             if (result.status != loop::ClientStatus::ResponseReceived
