Loop: Limit the memory that the bodies of all requests use

Cause: each body had a limit, all together had none, and each was held twice: in the request, and in what a kept connection had last written to a server.

A body is charged when its header has arrived, with its declared size, or with twice what has arrived when none is declared; a request that does not fit is refused with 503 before its body is received. Attempts write the body from the request without a copy.

Ruled out: the memory of responses (bounded already, EndlessAnswerTest) and pipelined requests (64 KB for a connection). A smaller limit for each body would refuse what the configuration allows.

--- a/packages/gateway/include/apricotrock/gateway.h
+++ b/packages/gateway/include/apricotrock/gateway.h
@@ -106,6 +106,8 @@
     broker::Policy policy;
     /// Memory for responses of backend servers, from their first byte until the caller has them.
     std::size_t responseMemoryBytes = std::size_t(32) * 1024 * 1024;
+    /// Memory for the bodies of requests, from their header until the request is finished.
+    std::size_t requestMemoryBytes = std::size_t(128) * 1024 * 1024;
 };
 
 /// One entry instance.
--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -284,13 +284,13 @@
     return headers;
 }
 
-std::string Call::encode(const Attempt &attempt) const
+std::string Call::encodeHead(const Attempt &attempt) const
 {
     const loop::HttpRequest &request = m_exchange->request();
     const bool hasBody = loop::findHeader(request.headers, "content-length")
         || loop::findHeader(request.headers, "transfer-encoding");
-    return loop::formatRequest(request.method, request.target, forwardedHeaders(attempt),
-                               request.body, hasBody);
+    return loop::formatRequestHead(request.method, request.target, forwardedHeaders(attempt),
+                                   request.body.size(), hasBody);
 }
 
 void Call::send(std::size_t index)
@@ -307,8 +307,10 @@
         attempt.server,
         m_plan.isIdempotent && !wasSentBefore ? idempotentMaxIdle : nonIdempotentMaxIdle);
     const std::string &idHeader = m_path.m_context.adapter.headers.requestId;
+    // The attempts share the body with the request, because it may be large.
+    const std::shared_ptr<const std::string> body(m_exchange, &m_exchange->request().body);
     attempt.connection->send(
-        encode(attempt), m_exchange->request().method == "HEAD",
+        encodeHead(attempt), body, m_exchange->request().method == "HEAD",
         std::min<Duration>(connectTimeout, m_plan.deadline - Clock::now()),
         [idHeader, id = m_plan.requestId](const loop::HttpResponse &response) {
             const auto echoed = loop::findHeader(response.headers, idHeader);
--- a/packages/gateway/src/call.h
+++ b/packages/gateway/src/call.h
@@ -76,7 +76,7 @@
     /// True if a server may have received the request, so that it may have run or may still run.
     [[nodiscard]] bool wasSent() const;
     [[nodiscard]] loop::Headers forwardedHeaders(const Attempt &attempt) const;
-    [[nodiscard]] std::string encode(const Attempt &attempt) const;
+    [[nodiscard]] std::string encodeHead(const Attempt &attempt) const;
     [[nodiscard]] broker::AttemptOutcome classifyOutcome(const loop::ClientResult &result) const;
 
     template <typename Fill>
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -228,6 +228,11 @@
             line.number("status", status).text("reason", text);
         });
     });
+    const auto bodyBudget = std::make_shared<loop::ByteBudget>(settings.requestMemoryBytes);
+    self.callers.setBodyBudget(bodyBudget);
+    self.context.metrics.gauge("apricotrock_request_memory_bytes",
+                               "Memory used by large bodies of requests.", {},
+                               [bodyBudget] { return double(bodyBudget->used()); });
     self.callers.setOverlapFilter(
         [&self](const loop::HttpRequest &request) { return self.path.mayOverlap(request); });
     self.peers.setTableState([&self] { return self.tables.state(); });
--- a/packages/loop/include/apricotrock/loop.h
+++ b/packages/loop/include/apricotrock/loop.h
@@ -119,23 +119,7 @@
 /// True for hop-by-hop headers, including those listed in the `Connection` header.
 bool isHopByHop(const Headers &headers, std::string_view name);
 
-struct HttpRequest
-{
-    std::string method;
-    std::string target;
-    Headers headers;
-    std::string body;
-    bool keepAlive = true;
-
-    [[nodiscard]] std::string_view path() const
-    {
-        return std::string_view(target).substr(0, target.find('?'));
-    }
-    /// Returns the value of a query parameter; percent escapes are kept.
-    [[nodiscard]] std::optional<std::string_view> query(std::string_view name) const;
-};
-
-/// Limits the memory that several connections use together for received responses.
+/// Limits the memory that several connections use together for received messages.
 class ByteBudget
 {
 public:
@@ -166,6 +150,24 @@
     std::size_t m_bytes = 0;
 };
 
+struct HttpRequest
+{
+    std::string method;
+    std::string target;
+    Headers headers;
+    std::string body;
+    bool keepAlive = true;
+    /// Memory of the body, if its listener has a budget and the body is not small.
+    std::shared_ptr<ByteLease> lease;
+
+    [[nodiscard]] std::string_view path() const
+    {
+        return std::string_view(target).substr(0, target.find('?'));
+    }
+    /// Returns the value of a query parameter; percent escapes are kept.
+    [[nodiscard]] std::optional<std::string_view> query(std::string_view name) const;
+};
+
 struct HttpResponse
 {
     int status = 0;
@@ -276,6 +278,10 @@
     void read();
     void parse();
     void addRequest();
+    /// Reserves memory for the body that is being received. Returns false if there is too little.
+    [[nodiscard]] bool reserveBody();
+    /// Frees the memory of a body that is not complete.
+    void dropBody();
     /// Passes requests to the handler that need not wait for those before them.
     void dispatch();
     [[nodiscard]] bool mayDispatch(std::size_t index) const;
@@ -312,6 +318,8 @@
     std::deque<std::shared_ptr<HttpExchange>> m_exchanges;
     /// Bytes of the bodies and headers of m_exchanges.
     std::size_t m_requestBytes = 0;
+    /// Memory of the body that is being received.
+    std::shared_ptr<ByteLease> m_bodyLease;
     std::vector<std::shared_ptr<ByteLease>> m_leases;
     TimePoint m_timeoutStart;
     /// When the last bytes were received.
@@ -342,6 +350,9 @@
     /// Starts to listen.
     Result<void> listen(const Endpoint &address);
     void setLimits(const ServerLimits &limits) { m_limits = limits; }
+    /// Limits the memory that the bodies of all requests use together, from their header until the
+    /// request is destroyed. A request whose body does not fit is refused with 503.
+    void setBodyBudget(std::shared_ptr<ByteBudget> budget) { m_bodyBudget = std::move(budget); }
     /// Sets which requests may be handled at the same time as others of their connection; none by
     /// default. They must be safe to repeat: the caller sends them again if an earlier response
     /// closes the connection.
@@ -375,6 +386,7 @@
     RefusalCallback m_onRefusal;
     OverlapFilter m_mayOverlap;
     ServerLimits m_limits;
+    std::shared_ptr<ByteBudget> m_bodyBudget;
     std::shared_ptr<ConnectionSet> m_connections = std::make_shared<ConnectionSet>();
     bool m_closeAfterResponses = false;
 };
@@ -417,6 +429,10 @@
     /// \a callback is called once, unless close() comes first.
     void send(std::string data, bool isHead, Duration connectTimeout, Filter filter,
               Callback callback);
+    /// Sends \a head and \a body as above. The body is not copied; it is held until it is written
+    /// or the connection is closed.
+    void send(std::string head, std::shared_ptr<const std::string> body, bool isHead,
+              Duration connectTimeout, Filter filter, Callback callback);
     /// Sets a callback that is called when the connection is closed while idle.
     void onIdleClose(std::function<void()> callback) { m_onIdleClose = std::move(callback); }
     /// Closes the connection; no callback is called after this.
@@ -453,6 +469,8 @@
     std::shared_ptr<ByteBudget> m_budget;
     std::shared_ptr<ByteLease> m_lease;
     std::string m_output;
+    /// Follows m_output; null once the write has begun.
+    std::shared_ptr<const std::string> m_body;
     std::string m_received;
     /// Bytes parsed since the request was sent, and those of bodies of discarded responses among
     /// them.
@@ -478,5 +496,8 @@
 /// Returns a complete HTTP/1.1 request; a Content-Length header is added if there is a body.
 std::string formatRequest(std::string_view method, std::string_view target, const Headers &headers,
                           std::string_view body, bool hasBody);
+/// Returns the part of such a request before the body.
+std::string formatRequestHead(std::string_view method, std::string_view target,
+                              const Headers &headers, std::size_t bodySize, bool hasBody);
 
 } // namespace apricotrock::loop
--- a/packages/loop/src/httpclientconnection.cpp
+++ b/packages/loop/src/httpclientconnection.cpp
@@ -84,7 +84,15 @@
 void HttpClientConnection::send(std::string data, bool isHead, Duration connectTimeout,
                                 Filter filter, Callback callback)
 {
-    m_output = std::move(data);
+    send(std::move(data), nullptr, isHead, connectTimeout, std::move(filter), std::move(callback));
+}
+
+void HttpClientConnection::send(std::string head, std::shared_ptr<const std::string> body,
+                                bool isHead, Duration connectTimeout, Filter filter,
+                                Callback callback)
+{
+    m_output = std::move(head);
+    m_body = std::move(body);
     m_isHead = isHead;
     m_filter = std::move(filter);
     m_callback = std::move(callback);
@@ -126,8 +134,11 @@
 
 void HttpClientConnection::writeRequest()
 {
-    asio::async_write(m_socket, asio::buffer(m_output),
-                      [self = shared_from_this()](std::error_code error, std::size_t) {
+    const auto body = std::exchange(m_body, nullptr);
+    const std::array<asio::const_buffer, 2> data = {
+        asio::buffer(m_output), body ? asio::buffer(*body) : asio::const_buffer()};
+    asio::async_write(m_socket, data,
+                      [self = shared_from_this(), body](std::error_code error, std::size_t) {
                           if (self->m_isClosed)
                               return;
                           // After a failed write, the pending read reports the end of the
@@ -288,6 +299,7 @@
     m_callback = nullptr;
     m_filter = nullptr;
     m_onIdleClose = nullptr;
+    m_body.reset();
     m_lease.reset();
     m_timers.cancel(m_connectTimer);
     std::error_code ignored;
--- a/packages/loop/src/httpmessage.cpp
+++ b/packages/loop/src/httpmessage.cpp
@@ -74,15 +74,23 @@
 
 std::string formatRequest(std::string_view method, std::string_view target, const Headers &headers,
                           std::string_view body, bool hasBody)
+{
+    std::string data = formatRequestHead(method, target, headers, body.size(), hasBody);
+    data.append(body);
+    return data;
+}
+
+std::string formatRequestHead(std::string_view method, std::string_view target,
+                              const Headers &headers, std::size_t bodySize, bool hasBody)
 {
     std::string data;
-    data.reserve(256 + headers.size() * 48 + body.size());
+    data.reserve(256 + headers.size() * 48);
     data.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
     for (const auto &[name, value] : headers)
         data.append(name).append(": ").append(value).append("\r\n");
-    if (hasBody || !body.empty())
-        fmt::format_to(std::back_inserter(data), "Content-Length: {}\r\n", body.size());
-    data.append("\r\n").append(body);
+    if (hasBody || bodySize > 0)
+        fmt::format_to(std::back_inserter(data), "Content-Length: {}\r\n", bodySize);
+    data.append("\r\n");
     return data;
 }
 
--- a/packages/loop/src/httpserverconnection.cpp
+++ b/packages/loop/src/httpserverconnection.cpp
@@ -18,6 +18,11 @@
 constexpr std::size_t maxPipelinedBytes = std::size_t(64) * 1024;
 /// Maximum number of requests of all connections that are behind another one.
 constexpr std::size_t maxRequestsAhead = 2048;
+/// Bodies up to this size don't count towards the budget of the listener, so that small requests
+/// are served while large ones use it up. The buffers of a connection are of the same order.
+constexpr std::size_t smallBodyBytes = std::size_t(16) * 1024;
+/// Retry-After, in seconds, of requests whose body does not fit into the budget.
+constexpr const char *bodyBudgetRetryAfter = "1";
 
 std::size_t sizeOf(const HttpRequest &request)
 {
@@ -138,6 +143,9 @@
             refuse(413, "the body is larger than the limit");
         else if (!parser.errorText.empty())
             refuse(400, parser.errorText);
+        else if (!reserveBody())
+            refuse(503, "the memory for requests is used up",
+                   {{"Retry-After", bodyBudgetRetryAfter}});
         else if (parser.isComplete)
             addRequest();
         else
@@ -154,6 +162,9 @@
     request.headers = std::move(parser.headers);
     request.body = std::move(parser.body);
     request.keepAlive = parser.keepAlive;
+    request.lease = std::move(m_bodyLease);
+    if (request.lease)
+        request.lease->resize(request.body.size());
     parser.reset();
     if (request.target.empty() || request.target.front() != '/') {
         refuse(400, "the request target must be a path");
@@ -167,6 +178,28 @@
     dispatch();
 }
 
+bool HttpServerConnection::reserveBody()
+{
+    std::string &body = m_parser->body;
+    // A body of unknown size moves when it grows, and takes up twice its size until it has moved.
+    const std::size_t bytes = m_parser->declaredBodyBytes.value_or(2 * body.size());
+    if (!m_listener.m_bodyBudget || bytes <= smallBodyBytes)
+        return true;
+    if (!m_bodyLease)
+        m_bodyLease = std::make_shared<ByteLease>(m_listener.m_bodyBudget);
+    if (!m_bodyLease->resize(bytes))
+        return false;
+    if (m_parser->declaredBodyBytes)
+        body.reserve(bytes);
+    return true;
+}
+
+void HttpServerConnection::dropBody()
+{
+    std::string().swap(m_parser->body);
+    m_bodyLease.reset();
+}
+
 bool HttpServerConnection::mayDispatch(std::size_t index) const
 {
     if (index == 0)
@@ -200,6 +233,7 @@
     if (m_listener.m_onRefusal)
         m_listener.m_onRefusal(status, text);
     m_isInputEnded = true;
+    dropBody();
     m_connections->requestsAhead += m_exchanges.empty() ? 0 : 1;
     m_exchanges.push_back(
         std::make_shared<HttpExchange>(shared_from_this(), HttpRequest(), m_lastRead));
@@ -313,6 +347,7 @@
         return;
     m_isClosed = true;
     m_leases.clear();
+    dropBody();
     std::error_code ignored;
     m_socket.close(ignored);
     m_connections->open.erase(this);
--- a/packages/loop/src/messageparser.cpp
+++ b/packages/loop/src/messageparser.cpp
@@ -16,6 +16,7 @@
     headers.clear();
     body.clear();
     errorText.clear();
+    declaredBodyBytes.reset();
     headerBytes = 0;
     isHeaderTooLarge = isBodyTooLarge = false;
     hasStarted = hasHeaders = isComplete = keepAlive = needsEnd = false;
@@ -130,6 +131,8 @@
         self.isBodyTooLarge = true;
         return -1;
     }
+    if (parser->content_length != UINT64_MAX)
+        self.declaredBodyBytes = parser->content_length;
     return self.isHead ? 1 : 0;
 }
 
--- a/packages/loop/src/messageparser.h
+++ b/packages/loop/src/messageparser.h
@@ -25,6 +25,8 @@
     Headers headers;
     std::string body;
     std::string errorText;
+    /// Size of the body if the header names it.
+    std::optional<std::size_t> declaredBodyBytes;
     std::size_t headerBytes = 0;
     std::size_t maxHeaderBytes = 0;
     std::size_t maxBodyBytes = 0;
