--- a/packages/caller/tests/rawclient.h
+++ b/packages/caller/tests/rawclient.h
@@ -2,7 +2,10 @@
 
 #include <asio.hpp>
 
+#include <unistd.h>
+
 #include <cstdint>
+#include <stdexcept>
 #include <string>
 
 /// A blocking TCP client that sends exact bytes.
@@ -49,10 +52,24 @@
     std::string m_buffer;
 };
 
-/// Returns a port of the loopback address that was free a moment ago.
+/// Returns a port of the loopback address that was free a moment ago, another one each time. It is
+/// not one of those that the system picks itself, also for connections, because it may pick the
+/// same port again before it is used.
 inline std::uint16_t freePort()
 {
+    constexpr unsigned firstPort = 20000;
+    constexpr unsigned portCount = 12000;
+    // Test processes that run at the same time begin at different ports.
+    constexpr unsigned portsPerProcess = 251;
+    static unsigned next = static_cast<unsigned>(getpid()) * portsPerProcess;
     asio::io_context context;
-    const asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
-    return acceptor.local_endpoint().port();
+    for (unsigned i = 0; i < portCount; ++i) {
+        const auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
+        asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::v4());
+        asio::error_code error;
+        acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+        if (!acceptor.bind({asio::ip::make_address("127.0.0.1"), port}, error))
+            return port;
+    }
+    throw std::runtime_error("no port is free");
 }
