Gateway: Add messages and settings for organisations, quotas and evacuations

Cause: two new deployments have organisations with API keys and quotas, servers with a limit of cold starts, zones that are evacuated, and a store that may be restored from a backup. None of this is decoded or sent between instances. The identifier of the datagrams changes, because the layout of SlotRequest and TableState does.

--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -16,6 +16,7 @@
 
 using ServerKey = std::uint64_t;
 using RouteKey = std::uint64_t;
+using OrganisationKey = std::uint64_t;
 
 /// Load that a backend server reports about itself.
 struct LoadReport
@@ -98,6 +99,10 @@
     std::array<ServerKey, maxExcludedServers> excluded{};
     /// Number of the availability zone of the instance that sends the request.
     std::uint32_t zone = 0;
+    /// Organisation of the caller; 0 is none.
+    OrganisationKey organisation = 0;
+    /// Weight of the organisation among those that share the service.
+    double weight = 0;
 };
 
 struct Decision
@@ -142,6 +147,8 @@
     std::uint32_t zone = 0;
     /// Distinguishes processes of the server that have the same key.
     std::uint64_t process = 0;
+    /// Limit of the attempts per second that are started while the server is cold; 0 is none.
+    double coldStartsPerSecond = 0;
 };
 
 struct Policy
--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -13,6 +13,16 @@
 /// arrival.
 namespace apricotrock::fleet {
 
+/// A position in a topic of the store. The era rises when the store comes back from a copy; its
+/// offsets then start again from an earlier one.
+struct StorePosition
+{
+    std::uint32_t era = 0;
+    std::uint64_t offset = 0;
+
+    auto operator<=>(const StorePosition &) const = default;
+};
+
 // Routes
 
 /// One destination of a route.
@@ -38,6 +48,8 @@
     unsigned priority = 0;
     /// Maximum number of backend servers to which one request is sent.
     unsigned maxAttempts = 1;
+    /// True if requests need no API key, although the configuration has organisations.
+    bool isPublic = false;
     std::vector<Destination> destinations;
 };
 
@@ -47,6 +59,22 @@
     std::string probePath;
     /// Connections that one backend server accepts from all instances together.
     unsigned maxConnections = 0;
+    /// Time for which a backend server is cold after its start.
+    Duration coldTime{};
+    /// Limit of the requests per second that a cold backend server gets; 0 is none.
+    double coldStartsPerSecond = 0;
+};
+
+/// A customer whose callers authenticate with API keys.
+struct Organisation
+{
+    std::string name;
+    std::vector<std::string> apiKeys;
+    /// Replaces the priority of the route.
+    std::optional<unsigned> priority;
+    /// Usage cap over all instances: a rate plus a burst. There is no cap if the rate is 0.
+    double requestsPerSecond = 0;
+    double burst = 0;
 };
 
 /// Limits on what callers may send.
@@ -64,6 +92,8 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<ServiceSettings> services;
+    /// Callers need no API keys if there are none.
+    std::vector<Organisation> organisations;
     CallerLimits limits;
 };
 
--- a/packages/gateway/include/apricotrock/gateway.h
+++ b/packages/gateway/include/apricotrock/gateway.h
@@ -29,6 +29,21 @@
     std::string serverId;
     /// "1" in every response of a backend server that is going to stop.
     std::string leaving;
+    /// API key of a caller; never passed on.
+    std::string apiKey;
+    /// Name of the caller's organisation, for backend servers.
+    std::string organisation;
+    /// Time in milliseconds for which a backend server stays cold, in responses to probes.
+    std::string coldRemainingMs;
+};
+
+/// Bounds of the requests of an organisation in any window, summed over all instances:
+/// (rate * window + burst) * (1 + overage) + slack.
+struct QuotaBounds
+{
+    Duration window = std::chrono::seconds(5);
+    double overage = 0.1;
+    double slack = 20;
 };
 
 enum class Topic { Configuration, BackendServers, Instances };
@@ -104,6 +119,9 @@
     /// Maximum time from the stop signal to the end of the process.
     Duration shutdownTimeout = std::chrono::seconds(6);
     broker::Policy policy;
+    QuotaBounds quota;
+    /// Time after the acknowledgement of a configuration at which it must be in force.
+    Duration configurationBound = std::chrono::milliseconds(2500);
     /// Memory for responses of backend servers, from their first byte until the caller has them.
     std::size_t responseMemoryBytes = std::size_t(32) * 1024 * 1024;
     /// Memory for the bodies of requests, from their header until the request is finished.
--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -147,6 +147,9 @@
     attempt.objective = m_plan.objective;
     attempt.target = m_plan.target;
     attempt.deadline = m_plan.deadline;
+    if (!m_plan.organisation.empty())
+        attempt.organisation = organisationKey(m_plan.organisation);
+    attempt.weight = m_plan.weight;
     const std::size_t count = std::min(m_excludedServers.size(), broker::maxExcludedServers);
     std::copy_n(m_excludedServers.rbegin(), count, attempt.excluded.begin());
     ++m_slotRequests;
--- a/packages/gateway/src/call.h
+++ b/packages/gateway/src/call.h
@@ -24,6 +24,12 @@
         bool isIdempotent = false;
         unsigned priority = 0;
         unsigned maxAttempts = 1;
+        /// Organisation of the caller; empty if there is none.
+        std::string organisation;
+        /// Weight of the organisation among those that share the service; 0 without one.
+        double weight = 0;
+        /// True if the request needs a token under the quota of the organisation.
+        bool needsToken = false;
         Duration objective{};
         TimePoint arrived;
         TimePoint target;
--- a/packages/gateway/src/context.h
+++ b/packages/gateway/src/context.h
@@ -49,6 +49,11 @@
     return hash64(id, 2);
 }
 
+inline std::uint64_t organisationKey(std::string_view name)
+{
+    return hash64(name, 6);
+}
+
 inline std::uint32_t zoneKey(std::string_view name)
 {
     return static_cast<std::uint32_t>(hash64(name, 5));
--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -61,6 +61,8 @@
             toMicroseconds(ask.target - now),
             toMicroseconds(ask.deadline - now),
             ask.zone,
+            ask.organisation,
+            static_cast<float>(ask.weight),
             static_cast<std::uint8_t>(std::min(ask.priority, 255U)),
             static_cast<std::uint8_t>(std::min(ask.earlierAttempts, 255U)),
             ask.isHedge};
@@ -80,6 +82,8 @@
     ask.target = now + microseconds(message.target_us());
     ask.deadline = now + microseconds(message.deadline_us());
     ask.zone = message.zone();
+    ask.organisation = message.organisation();
+    ask.weight = message.weight();
     ask.excluded = {message.excluded_1(), message.excluded_2(), message.excluded_3()};
     return ask;
 }
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -108,9 +108,9 @@
         // Each datagram covers the positions up to the first update of the next one.
         const std::uint64_t to = next < updates.size() ? updates[next].offset : end;
         const wire::TableState now = state();
-        message.tables = std::make_unique<wire::TableState>(now.configuration_version(), to,
-                                                            std::min(now.last_change(), to),
-                                                            now.read_age_ms(), now.is_reader());
+        message.tables = std::make_unique<wire::TableState>(
+            now.configuration_version(), to, std::min(now.last_change(), to), now.read_age_ms(),
+            now.store_era(), now.is_reader());
         m_peers.broadcastTables(
             message, isReader() ? PeerChannel::Scope::Fleet : PeerChannel::Scope::OwnZone);
         from = to;
--- a/packages/gateway/src/tablesync.cpp
+++ b/packages/gateway/src/tablesync.cpp
@@ -103,8 +103,11 @@
 {
     const fleet::Configuration *configuration = m_context.routes.configuration();
     const auto age = std::chrono::duration_cast<milliseconds>(Clock::now() - m_lastSuccessfulRead);
-    return {configuration ? configuration->version : 0, m_context.servers.position(), m_lastChange,
+    return {configuration ? configuration->version : 0,
+            m_context.servers.position(),
+            m_lastChange,
             static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), UINT32_MAX)),
+            0,
             isReader() || isZoneReader()};
 }
 
--- a/packages/wire/include/apricotrock/gateway_generated.h
+++ b/packages/wire/include/apricotrock/gateway_generated.h
@@ -22,6 +22,12 @@
 
 struct SlotRelease;
 
+struct QuotaRequest;
+
+struct QuotaResponse;
+
+struct QuotaReturn;
+
 struct SenderReport;
 struct SenderReportBuilder;
 struct SenderReportT;
@@ -48,6 +54,10 @@
 struct LeavingServerBuilder;
 struct LeavingServerT;
 
+struct EvacuationOrder;
+struct EvacuationOrderBuilder;
+struct EvacuationOrderT;
+
 struct CrashReport;
 struct CrashReportBuilder;
 struct CrashReportT;
@@ -73,10 +83,12 @@
   int32_t target_us_;
   int32_t deadline_us_;
   uint32_t zone_;
+  uint64_t organisation_;
+  float weight_;
   uint8_t priority_;
   uint8_t earlier_attempts_;
   uint8_t is_hedge_;
-  int8_t padding0__;  int32_t padding1__;
+  int8_t padding0__;
 
  public:
   struct Traits;
@@ -92,15 +104,15 @@
         target_us_(0),
         deadline_us_(0),
         zone_(0),
+        organisation_(0),
+        weight_(0),
         priority_(0),
         earlier_attempts_(0),
         is_hedge_(0),
-        padding0__(0),
-        padding1__(0) {
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
   }
-  SlotRequest(uint64_t _ticket, uint64_t _service, uint64_t _route, uint64_t _fingerprint, uint64_t _excluded_1, uint64_t _excluded_2, uint64_t _excluded_3, uint32_t _objective_us, int32_t _target_us, int32_t _deadline_us, uint32_t _zone, uint8_t _priority, uint8_t _earlier_attempts, bool _is_hedge)
+  SlotRequest(uint64_t _ticket, uint64_t _service, uint64_t _route, uint64_t _fingerprint, uint64_t _excluded_1, uint64_t _excluded_2, uint64_t _excluded_3, uint32_t _objective_us, int32_t _target_us, int32_t _deadline_us, uint32_t _zone, uint64_t _organisation, float _weight, uint8_t _priority, uint8_t _earlier_attempts, bool _is_hedge)
       : ticket_(flatbuffers::EndianScalar(_ticket)),
         service_(flatbuffers::EndianScalar(_service)),
         route_(flatbuffers::EndianScalar(_route)),
@@ -112,13 +124,13 @@
         target_us_(flatbuffers::EndianScalar(_target_us)),
         deadline_us_(flatbuffers::EndianScalar(_deadline_us)),
         zone_(flatbuffers::EndianScalar(_zone)),
+        organisation_(flatbuffers::EndianScalar(_organisation)),
+        weight_(flatbuffers::EndianScalar(_weight)),
         priority_(flatbuffers::EndianScalar(_priority)),
         earlier_attempts_(flatbuffers::EndianScalar(_earlier_attempts)),
         is_hedge_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_hedge))),
-        padding0__(0),
-        padding1__(0) {
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
   }
   uint64_t ticket() const {
     return flatbuffers::EndianScalar(ticket_);
@@ -153,6 +165,12 @@
   uint32_t zone() const {
     return flatbuffers::EndianScalar(zone_);
   }
+  uint64_t organisation() const {
+    return flatbuffers::EndianScalar(organisation_);
+  }
+  float weight() const {
+    return flatbuffers::EndianScalar(weight_);
+  }
   uint8_t priority() const {
     return flatbuffers::EndianScalar(priority_);
   }
@@ -163,7 +181,7 @@
     return flatbuffers::EndianScalar(is_hedge_) != 0;
   }
 };
-FLATBUFFERS_STRUCT_END(SlotRequest, 80);
+FLATBUFFERS_STRUCT_END(SlotRequest, 88);
 
 struct SlotRequest::Traits {
   using type = SlotRequest;
@@ -354,14 +372,136 @@
   using type = SlotRelease;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QuotaRequest FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t ticket_;
+  uint64_t organisation_;
+  uint64_t configuration_version_;
+
+ public:
+  struct Traits;
+  QuotaRequest()
+      : ticket_(0),
+        organisation_(0),
+        configuration_version_(0) {
+  }
+  QuotaRequest(uint64_t _ticket, uint64_t _organisation, uint64_t _configuration_version)
+      : ticket_(flatbuffers::EndianScalar(_ticket)),
+        organisation_(flatbuffers::EndianScalar(_organisation)),
+        configuration_version_(flatbuffers::EndianScalar(_configuration_version)) {
+  }
+  uint64_t ticket() const {
+    return flatbuffers::EndianScalar(ticket_);
+  }
+  uint64_t organisation() const {
+    return flatbuffers::EndianScalar(organisation_);
+  }
+  uint64_t configuration_version() const {
+    return flatbuffers::EndianScalar(configuration_version_);
+  }
+};
+FLATBUFFERS_STRUCT_END(QuotaRequest, 24);
+
+struct QuotaRequest::Traits {
+  using type = QuotaRequest;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QuotaResponse FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t ticket_;
+  uint64_t organisation_;
+  uint32_t retry_after_us_;
+  uint32_t hold_off_us_;
+  uint8_t verdict_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+
+ public:
+  struct Traits;
+  QuotaResponse()
+      : ticket_(0),
+        organisation_(0),
+        retry_after_us_(0),
+        hold_off_us_(0),
+        verdict_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  QuotaResponse(uint64_t _ticket, uint64_t _organisation, uint32_t _retry_after_us, uint32_t _hold_off_us, uint8_t _verdict)
+      : ticket_(flatbuffers::EndianScalar(_ticket)),
+        organisation_(flatbuffers::EndianScalar(_organisation)),
+        retry_after_us_(flatbuffers::EndianScalar(_retry_after_us)),
+        hold_off_us_(flatbuffers::EndianScalar(_hold_off_us)),
+        verdict_(flatbuffers::EndianScalar(_verdict)),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
+  }
+  uint64_t ticket() const {
+    return flatbuffers::EndianScalar(ticket_);
+  }
+  uint64_t organisation() const {
+    return flatbuffers::EndianScalar(organisation_);
+  }
+  uint32_t retry_after_us() const {
+    return flatbuffers::EndianScalar(retry_after_us_);
+  }
+  uint32_t hold_off_us() const {
+    return flatbuffers::EndianScalar(hold_off_us_);
+  }
+  uint8_t verdict() const {
+    return flatbuffers::EndianScalar(verdict_);
+  }
+};
+FLATBUFFERS_STRUCT_END(QuotaResponse, 32);
+
+struct QuotaResponse::Traits {
+  using type = QuotaResponse;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QuotaReturn FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t ticket_;
+  uint64_t organisation_;
+
+ public:
+  struct Traits;
+  QuotaReturn()
+      : ticket_(0),
+        organisation_(0) {
+  }
+  QuotaReturn(uint64_t _ticket, uint64_t _organisation)
+      : ticket_(flatbuffers::EndianScalar(_ticket)),
+        organisation_(flatbuffers::EndianScalar(_organisation)) {
+  }
+  uint64_t ticket() const {
+    return flatbuffers::EndianScalar(ticket_);
+  }
+  uint64_t organisation() const {
+    return flatbuffers::EndianScalar(organisation_);
+  }
+};
+FLATBUFFERS_STRUCT_END(QuotaReturn, 16);
+
+struct QuotaReturn::Traits {
+  using type = QuotaReturn;
+};
+
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) TableState FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t configuration_version_;
   uint64_t server_position_;
   uint64_t last_change_;
   uint32_t read_age_ms_;
+  uint32_t store_era_;
   uint8_t is_reader_;
-  int8_t padding0__;  int16_t padding1__;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
 
  public:
   struct Traits;
@@ -370,22 +510,28 @@
         server_position_(0),
         last_change_(0),
         read_age_ms_(0),
+        store_era_(0),
         is_reader_(0),
         padding0__(0),
-        padding1__(0) {
+        padding1__(0),
+        padding2__(0) {
     (void)padding0__;
     (void)padding1__;
+    (void)padding2__;
   }
-  TableState(uint64_t _configuration_version, uint64_t _server_position, uint64_t _last_change, uint32_t _read_age_ms, bool _is_reader)
+  TableState(uint64_t _configuration_version, uint64_t _server_position, uint64_t _last_change, uint32_t _read_age_ms, uint32_t _store_era, bool _is_reader)
       : configuration_version_(flatbuffers::EndianScalar(_configuration_version)),
         server_position_(flatbuffers::EndianScalar(_server_position)),
         last_change_(flatbuffers::EndianScalar(_last_change)),
         read_age_ms_(flatbuffers::EndianScalar(_read_age_ms)),
+        store_era_(flatbuffers::EndianScalar(_store_era)),
         is_reader_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_reader))),
         padding0__(0),
-        padding1__(0) {
+        padding1__(0),
+        padding2__(0) {
     (void)padding0__;
     (void)padding1__;
+    (void)padding2__;
   }
   uint64_t configuration_version() const {
     return flatbuffers::EndianScalar(configuration_version_);
@@ -399,11 +545,14 @@
   uint32_t read_age_ms() const {
     return flatbuffers::EndianScalar(read_age_ms_);
   }
+  uint32_t store_era() const {
+    return flatbuffers::EndianScalar(store_era_);
+  }
   bool is_reader() const {
     return flatbuffers::EndianScalar(is_reader_) != 0;
   }
 };
-FLATBUFFERS_STRUCT_END(TableState, 32);
+FLATBUFFERS_STRUCT_END(TableState, 40);
 
 struct TableState::Traits {
   using type = TableState;
@@ -841,6 +990,7 @@
   std::string id{};
   uint64_t offset = 0;
   std::vector<uint8_t> value{};
+  uint32_t era = 0;
 };
 
 struct ServerUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -850,7 +1000,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_OFFSET = 6,
-    VT_VALUE = 8
+    VT_VALUE = 8,
+    VT_ERA = 10
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -861,6 +1012,9 @@
   const flatbuffers::Vector<uint8_t> *value() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
   }
+  uint32_t era() const {
+    return GetField<uint32_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ID) &&
@@ -868,6 +1022,7 @@
            VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
            VerifyOffset(verifier, VT_VALUE) &&
            verifier.VerifyVector(value()) &&
+           VerifyField<uint32_t>(verifier, VT_ERA, 4) &&
            verifier.EndTable();
   }
   ServerUpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -888,6 +1043,9 @@
   void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
     fbb_.AddOffset(ServerUpdate::VT_VALUE, value);
   }
+  void add_era(uint32_t era) {
+    fbb_.AddElement<uint32_t>(ServerUpdate::VT_ERA, era, 0);
+  }
   explicit ServerUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -904,9 +1062,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> id = 0,
     uint64_t offset = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    uint32_t era = 0) {
   ServerUpdateBuilder builder_(_fbb);
   builder_.add_offset(offset);
+  builder_.add_era(era);
   builder_.add_value(value);
   builder_.add_id(id);
   return builder_.Finish();
@@ -921,14 +1081,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *id = nullptr,
     uint64_t offset = 0,
-    const std::vector<uint8_t> *value = nullptr) {
+    const std::vector<uint8_t> *value = nullptr,
+    uint32_t era = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
   return apricotrock::wire::CreateServerUpdate(
       _fbb,
       id__,
       offset,
-      value__);
+      value__,
+      era);
 }
 
 flatbuffers::Offset<ServerUpdate> CreateServerUpdate(flatbuffers::FlatBufferBuilder &_fbb, const ServerUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -937,6 +1099,7 @@
   typedef LeavingServer TableType;
   std::string id{};
   uint64_t process_start_ms = 0;
+  uint64_t obsolete_sequence = 0;
 };
 
 struct LeavingServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -945,7 +1108,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
-    VT_PROCESS_START_MS = 6
+    VT_PROCESS_START_MS = 6,
+    VT_OBSOLETE_SEQUENCE = 8
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -953,11 +1117,15 @@
   uint64_t process_start_ms() const {
     return GetField<uint64_t>(VT_PROCESS_START_MS, 0);
   }
+  uint64_t obsolete_sequence() const {
+    return GetField<uint64_t>(VT_OBSOLETE_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ID) &&
            verifier.VerifyString(id()) &&
            VerifyField<uint64_t>(verifier, VT_PROCESS_START_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OBSOLETE_SEQUENCE, 8) &&
            verifier.EndTable();
   }
   LeavingServerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -975,6 +1143,9 @@
   void add_process_start_ms(uint64_t process_start_ms) {
     fbb_.AddElement<uint64_t>(LeavingServer::VT_PROCESS_START_MS, process_start_ms, 0);
   }
+  void add_obsolete_sequence(uint64_t obsolete_sequence) {
+    fbb_.AddElement<uint64_t>(LeavingServer::VT_OBSOLETE_SEQUENCE, obsolete_sequence, 0);
+  }
   explicit LeavingServerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -990,8 +1161,10 @@
 inline flatbuffers::Offset<LeavingServer> CreateLeavingServer(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> id = 0,
-    uint64_t process_start_ms = 0) {
+    uint64_t process_start_ms = 0,
+    uint64_t obsolete_sequence = 0) {
   LeavingServerBuilder builder_(_fbb);
+  builder_.add_obsolete_sequence(obsolete_sequence);
   builder_.add_process_start_ms(process_start_ms);
   builder_.add_id(id);
   return builder_.Finish();
@@ -1005,16 +1178,126 @@
 inline flatbuffers::Offset<LeavingServer> CreateLeavingServerDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *id = nullptr,
-    uint64_t process_start_ms = 0) {
+    uint64_t process_start_ms = 0,
+    uint64_t obsolete_sequence = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   return apricotrock::wire::CreateLeavingServer(
       _fbb,
       id__,
-      process_start_ms);
+      process_start_ms,
+      obsolete_sequence);
 }
 
 flatbuffers::Offset<LeavingServer> CreateLeavingServer(flatbuffers::FlatBufferBuilder &_fbb, const LeavingServerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EvacuationOrderT : public flatbuffers::NativeTable {
+  typedef EvacuationOrder TableType;
+  std::string availability_zone{};
+  uint32_t era = 0;
+  uint64_t offset = 0;
+  bool is_active = false;
+};
+
+struct EvacuationOrder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationOrderT NativeTableType;
+  typedef EvacuationOrderBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_AVAILABILITY_ZONE = 4,
+    VT_ERA = 6,
+    VT_OFFSET = 8,
+    VT_IS_ACTIVE = 10
+  };
+  const flatbuffers::String *availability_zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_AVAILABILITY_ZONE);
+  }
+  uint32_t era() const {
+    return GetField<uint32_t>(VT_ERA, 0);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  bool is_active() const {
+    return GetField<uint8_t>(VT_IS_ACTIVE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_AVAILABILITY_ZONE) &&
+           verifier.VerifyString(availability_zone()) &&
+           VerifyField<uint32_t>(verifier, VT_ERA, 4) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_ACTIVE, 1) &&
+           verifier.EndTable();
+  }
+  EvacuationOrderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EvacuationOrderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EvacuationOrder> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationOrderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EvacuationOrderBuilder {
+  typedef EvacuationOrder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_availability_zone(flatbuffers::Offset<flatbuffers::String> availability_zone) {
+    fbb_.AddOffset(EvacuationOrder::VT_AVAILABILITY_ZONE, availability_zone);
+  }
+  void add_era(uint32_t era) {
+    fbb_.AddElement<uint32_t>(EvacuationOrder::VT_ERA, era, 0);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(EvacuationOrder::VT_OFFSET, offset, 0);
+  }
+  void add_is_active(bool is_active) {
+    fbb_.AddElement<uint8_t>(EvacuationOrder::VT_IS_ACTIVE, static_cast<uint8_t>(is_active), 0);
+  }
+  explicit EvacuationOrderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EvacuationOrder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EvacuationOrder>(end);
+    fbb_.Required(o, EvacuationOrder::VT_AVAILABILITY_ZONE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EvacuationOrder> CreateEvacuationOrder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> availability_zone = 0,
+    uint32_t era = 0,
+    uint64_t offset = 0,
+    bool is_active = false) {
+  EvacuationOrderBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_era(era);
+  builder_.add_availability_zone(availability_zone);
+  builder_.add_is_active(is_active);
+  return builder_.Finish();
+}
+
+struct EvacuationOrder::Traits {
+  using type = EvacuationOrder;
+  static auto constexpr Create = CreateEvacuationOrder;
+};
+
+inline flatbuffers::Offset<EvacuationOrder> CreateEvacuationOrderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *availability_zone = nullptr,
+    uint32_t era = 0,
+    uint64_t offset = 0,
+    bool is_active = false) {
+  auto availability_zone__ = availability_zone ? _fbb.CreateString(availability_zone) : 0;
+  return apricotrock::wire::CreateEvacuationOrder(
+      _fbb,
+      availability_zone__,
+      era,
+      offset,
+      is_active);
+}
+
+flatbuffers::Offset<EvacuationOrder> CreateEvacuationOrder(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationOrderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct CrashReportT : public flatbuffers::NativeTable {
   typedef CrashReport TableType;
   uint64_t service = 0;
@@ -1213,6 +1496,10 @@
   uint64_t updates_from = 0;
   uint8_t relay = 0;
   std::vector<std::unique_ptr<apricotrock::wire::CrashReportT>> crashes{};
+  std::vector<apricotrock::wire::QuotaRequest> quota_requests{};
+  std::vector<apricotrock::wire::QuotaResponse> quota_responses{};
+  std::vector<apricotrock::wire::QuotaReturn> quota_returns{};
+  std::vector<std::unique_ptr<apricotrock::wire::EvacuationOrderT>> evacuations{};
   GatewayMessageT() = default;
   GatewayMessageT(const GatewayMessageT &o);
   GatewayMessageT(GatewayMessageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1239,7 +1526,11 @@
     VT_UNPACKED_CONFIGURATION_BYTES = 28,
     VT_UPDATES_FROM = 30,
     VT_RELAY = 32,
-    VT_CRASHES = 34
+    VT_CRASHES = 34,
+    VT_QUOTA_REQUESTS = 36,
+    VT_QUOTA_RESPONSES = 38,
+    VT_QUOTA_RETURNS = 40,
+    VT_EVACUATIONS = 42
   };
   const apricotrock::wire::SenderReport *self() const {
     return GetPointer<const apricotrock::wire::SenderReport *>(VT_SELF);
@@ -1289,6 +1580,18 @@
   const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::CrashReport>> *crashes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::CrashReport>> *>(VT_CRASHES);
   }
+  const flatbuffers::Vector<const apricotrock::wire::QuotaRequest *> *quota_requests() const {
+    return GetPointer<const flatbuffers::Vector<const apricotrock::wire::QuotaRequest *> *>(VT_QUOTA_REQUESTS);
+  }
+  const flatbuffers::Vector<const apricotrock::wire::QuotaResponse *> *quota_responses() const {
+    return GetPointer<const flatbuffers::Vector<const apricotrock::wire::QuotaResponse *> *>(VT_QUOTA_RESPONSES);
+  }
+  const flatbuffers::Vector<const apricotrock::wire::QuotaReturn *> *quota_returns() const {
+    return GetPointer<const flatbuffers::Vector<const apricotrock::wire::QuotaReturn *> *>(VT_QUOTA_RETURNS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>> *evacuations() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>> *>(VT_EVACUATIONS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SELF) &&
@@ -1320,6 +1623,15 @@
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_QUOTA_REQUESTS) &&
+           verifier.VerifyVector(quota_requests()) &&
+           VerifyOffset(verifier, VT_QUOTA_RESPONSES) &&
+           verifier.VerifyVector(quota_responses()) &&
+           VerifyOffset(verifier, VT_QUOTA_RETURNS) &&
+           verifier.VerifyVector(quota_returns()) &&
+           VerifyOffset(verifier, VT_EVACUATIONS) &&
+           verifier.VerifyVector(evacuations()) &&
+           verifier.VerifyVectorOfTables(evacuations()) &&
            verifier.EndTable();
   }
   GatewayMessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1379,6 +1691,18 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::CrashReport>>> crashes) {
     fbb_.AddOffset(GatewayMessage::VT_CRASHES, crashes);
   }
+  void add_quota_requests(flatbuffers::Offset<flatbuffers::Vector<const apricotrock::wire::QuotaRequest *>> quota_requests) {
+    fbb_.AddOffset(GatewayMessage::VT_QUOTA_REQUESTS, quota_requests);
+  }
+  void add_quota_responses(flatbuffers::Offset<flatbuffers::Vector<const apricotrock::wire::QuotaResponse *>> quota_responses) {
+    fbb_.AddOffset(GatewayMessage::VT_QUOTA_RESPONSES, quota_responses);
+  }
+  void add_quota_returns(flatbuffers::Offset<flatbuffers::Vector<const apricotrock::wire::QuotaReturn *>> quota_returns) {
+    fbb_.AddOffset(GatewayMessage::VT_QUOTA_RETURNS, quota_returns);
+  }
+  void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>>> evacuations) {
+    fbb_.AddOffset(GatewayMessage::VT_EVACUATIONS, evacuations);
+  }
   explicit GatewayMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1407,10 +1731,18 @@
     uint32_t unpacked_configuration_bytes = 0,
     uint64_t updates_from = 0,
     uint8_t relay = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::CrashReport>>> crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::CrashReport>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const apricotrock::wire::QuotaRequest *>> quota_requests = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const apricotrock::wire::QuotaResponse *>> quota_responses = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const apricotrock::wire::QuotaReturn *>> quota_returns = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>>> evacuations = 0) {
   GatewayMessageBuilder builder_(_fbb);
   builder_.add_updates_from(updates_from);
   builder_.add_incarnation(incarnation);
+  builder_.add_evacuations(evacuations);
+  builder_.add_quota_returns(quota_returns);
+  builder_.add_quota_responses(quota_responses);
+  builder_.add_quota_requests(quota_requests);
   builder_.add_crashes(crashes);
   builder_.add_unpacked_configuration_bytes(unpacked_configuration_bytes);
   builder_.add_packed_configuration(packed_configuration);
@@ -1450,7 +1782,11 @@
     uint32_t unpacked_configuration_bytes = 0,
     uint64_t updates_from = 0,
     uint8_t relay = 0,
-    const std::vector<flatbuffers::Offset<apricotrock::wire::CrashReport>> *crashes = nullptr) {
+    const std::vector<flatbuffers::Offset<apricotrock::wire::CrashReport>> *crashes = nullptr,
+    const std::vector<apricotrock::wire::QuotaRequest> *quota_requests = nullptr,
+    const std::vector<apricotrock::wire::QuotaResponse> *quota_responses = nullptr,
+    const std::vector<apricotrock::wire::QuotaReturn> *quota_returns = nullptr,
+    const std::vector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>> *evacuations = nullptr) {
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotRequest>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotResponse>(*answers) : 0;
   auto ends__ = ends ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotRelease>(*ends) : 0;
@@ -1459,6 +1795,10 @@
   auto packed_updates__ = packed_updates ? _fbb.CreateVector<uint8_t>(*packed_updates) : 0;
   auto packed_configuration__ = packed_configuration ? _fbb.CreateVector<uint8_t>(*packed_configuration) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::CrashReport>>(*crashes) : 0;
+  auto quota_requests__ = quota_requests ? _fbb.CreateVectorOfStructs<apricotrock::wire::QuotaRequest>(*quota_requests) : 0;
+  auto quota_responses__ = quota_responses ? _fbb.CreateVectorOfStructs<apricotrock::wire::QuotaResponse>(*quota_responses) : 0;
+  auto quota_returns__ = quota_returns ? _fbb.CreateVectorOfStructs<apricotrock::wire::QuotaReturn>(*quota_returns) : 0;
+  auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>>(*evacuations) : 0;
   return apricotrock::wire::CreateGatewayMessage(
       _fbb,
       self,
@@ -1476,7 +1816,11 @@
       unpacked_configuration_bytes,
       updates_from,
       relay,
-      crashes__);
+      crashes__,
+      quota_requests__,
+      quota_responses__,
+      quota_returns__,
+      evacuations__);
 }
 
 flatbuffers::Offset<GatewayMessage> CreateGatewayMessage(flatbuffers::FlatBufferBuilder &_fbb, const GatewayMessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1642,6 +1986,7 @@
   { auto _e = id(); if (_e) _o->id = _e->str(); }
   { auto _e = offset(); _o->offset = _e; }
   { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<ServerUpdate> ServerUpdate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServerUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1655,11 +2000,13 @@
   auto _id = _fbb.CreateString(_o->id);
   auto _offset = _o->offset;
   auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
+  auto _era = _o->era;
   return apricotrock::wire::CreateServerUpdate(
       _fbb,
       _id,
       _offset,
-      _value);
+      _value,
+      _era);
 }
 
 inline LeavingServerT *LeavingServer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1673,6 +2020,7 @@
   (void)_resolver;
   { auto _e = id(); if (_e) _o->id = _e->str(); }
   { auto _e = process_start_ms(); _o->process_start_ms = _e; }
+  { auto _e = obsolete_sequence(); _o->obsolete_sequence = _e; }
 }
 
 inline flatbuffers::Offset<LeavingServer> LeavingServer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeavingServerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1685,10 +2033,47 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeavingServerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _id = _fbb.CreateString(_o->id);
   auto _process_start_ms = _o->process_start_ms;
+  auto _obsolete_sequence = _o->obsolete_sequence;
   return apricotrock::wire::CreateLeavingServer(
       _fbb,
       _id,
-      _process_start_ms);
+      _process_start_ms,
+      _obsolete_sequence);
+}
+
+inline EvacuationOrderT *EvacuationOrder::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EvacuationOrderT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EvacuationOrder::UnPackTo(EvacuationOrderT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = availability_zone(); if (_e) _o->availability_zone = _e->str(); }
+  { auto _e = era(); _o->era = _e; }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = is_active(); _o->is_active = _e; }
+}
+
+inline flatbuffers::Offset<EvacuationOrder> EvacuationOrder::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationOrderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEvacuationOrder(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EvacuationOrder> CreateEvacuationOrder(flatbuffers::FlatBufferBuilder &_fbb, const EvacuationOrderT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EvacuationOrderT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _availability_zone = _fbb.CreateString(_o->availability_zone);
+  auto _era = _o->era;
+  auto _offset = _o->offset;
+  auto _is_active = _o->is_active;
+  return apricotrock::wire::CreateEvacuationOrder(
+      _fbb,
+      _availability_zone,
+      _era,
+      _offset,
+      _is_active);
 }
 
 inline CrashReportT *CrashReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1775,13 +2160,18 @@
         packed_configuration(o.packed_configuration),
         unpacked_configuration_bytes(o.unpacked_configuration_bytes),
         updates_from(o.updates_from),
-        relay(o.relay) {
+        relay(o.relay),
+        quota_requests(o.quota_requests),
+        quota_responses(o.quota_responses),
+        quota_returns(o.quota_returns) {
   instances.reserve(o.instances.size());
   for (const auto &instances_ : o.instances) { instances.emplace_back((instances_) ? new apricotrock::wire::InstanceAddressT(*instances_) : nullptr); }
   leaving.reserve(o.leaving.size());
   for (const auto &leaving_ : o.leaving) { leaving.emplace_back((leaving_) ? new apricotrock::wire::LeavingServerT(*leaving_) : nullptr); }
   crashes.reserve(o.crashes.size());
   for (const auto &crashes_ : o.crashes) { crashes.emplace_back((crashes_) ? new apricotrock::wire::CrashReportT(*crashes_) : nullptr); }
+  evacuations.reserve(o.evacuations.size());
+  for (const auto &evacuations_ : o.evacuations) { evacuations.emplace_back((evacuations_) ? new apricotrock::wire::EvacuationOrderT(*evacuations_) : nullptr); }
 }
 
 inline GatewayMessageT &GatewayMessageT::operator=(GatewayMessageT o) FLATBUFFERS_NOEXCEPT {
@@ -1801,6 +2191,10 @@
   std::swap(updates_from, o.updates_from);
   std::swap(relay, o.relay);
   std::swap(crashes, o.crashes);
+  std::swap(quota_requests, o.quota_requests);
+  std::swap(quota_responses, o.quota_responses);
+  std::swap(quota_returns, o.quota_returns);
+  std::swap(evacuations, o.evacuations);
   return *this;
 }
 
@@ -1829,6 +2223,10 @@
   { auto _e = updates_from(); _o->updates_from = _e; }
   { auto _e = relay(); _o->relay = _e; }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = std::unique_ptr<apricotrock::wire::CrashReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = quota_requests(); if (_e) { _o->quota_requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quota_requests[_i] = *_e->Get(_i); } } }
+  { auto _e = quota_responses(); if (_e) { _o->quota_responses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quota_responses[_i] = *_e->Get(_i); } } }
+  { auto _e = quota_returns(); if (_e) { _o->quota_returns.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quota_returns[_i] = *_e->Get(_i); } } }
+  { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = std::unique_ptr<apricotrock::wire::EvacuationOrderT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<GatewayMessage> GatewayMessage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayMessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1855,6 +2253,10 @@
   auto _updates_from = _o->updates_from;
   auto _relay = _o->relay;
   auto _crashes = _o->crashes.size() ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::CrashReport>> (_o->crashes.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashReport(*__va->__fbb, __va->__o->crashes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _quota_requests = _o->quota_requests.size() ? _fbb.CreateVectorOfStructs(_o->quota_requests) : 0;
+  auto _quota_responses = _o->quota_responses.size() ? _fbb.CreateVectorOfStructs(_o->quota_responses) : 0;
+  auto _quota_returns = _o->quota_returns.size() ? _fbb.CreateVectorOfStructs(_o->quota_returns) : 0;
+  auto _evacuations = _o->evacuations.size() ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>> (_o->evacuations.size(), [](size_t i, _VectorArgs *__va) { return CreateEvacuationOrder(*__va->__fbb, __va->__o->evacuations[i].get(), __va->__rehasher); }, &_va ) : 0;
   return apricotrock::wire::CreateGatewayMessage(
       _fbb,
       _self,
@@ -1872,7 +2274,11 @@
       _unpacked_configuration_bytes,
       _updates_from,
       _relay,
-      _crashes);
+      _crashes,
+      _quota_requests,
+      _quota_responses,
+      _quota_returns,
+      _evacuations);
 }
 
 inline const apricotrock::wire::GatewayMessage *GetGatewayMessage(const void *buf) {
@@ -1884,7 +2290,7 @@
 }
 
 inline const char *GatewayMessageIdentifier() {
-  return "APR2";
+  return "APR3";
 }
 
 inline bool GatewayMessageBufferHasIdentifier(const void *buf) {
