--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -9,7 +9,7 @@
 /// State that an instance keeps about its peers, the backend servers and the routes.
 ///
 /// The functions do no I/O and do not read the clock. Records from several sources are merged by
-/// their offset in the platform's store, so that the result does not depend on the order of
+/// their position in the platform's store, so that the result does not depend on the order of
 /// arrival.
 namespace apricotrock::fleet {
 
@@ -140,6 +140,8 @@
     Duration slowStartRemaining{};
     /// Start of the process, Unix milliseconds; distinguishes processes with the same id.
     std::uint64_t processStartMs = 0;
+    /// Rises with each record that the process writes; 0 if the record has no number.
+    std::uint64_t sequence = 0;
 
     /// Compares the fields that affect routing; the remaining slow start does not.
     [[nodiscard]] bool hasSameRoutingAs(const ServerEntry &other) const;
@@ -150,7 +152,7 @@
 struct ServerRecord
 {
     std::string id;
-    std::uint64_t offset = 0;
+    StorePosition position;
     std::optional<ServerEntry> entry;
 };
 
@@ -166,15 +168,19 @@
     std::optional<TimePoint> removalGraceUntil;
     /// End of the time in which the server is slow after its start.
     TimePoint slowStartUntil;
-    /// The process of the entry said in a response that it leaves. Its record may still say ready.
+    /// The process of the entry said in a response that it leaves, or the entry is known to be
+    /// obsolete. Its record may still say ready.
     bool isLeaving = false;
 };
 
-/// A process of a backend server that said in a response that it leaves.
+/// A process of a backend server that said in a response that it leaves, or whose records up to a
+/// sequence number are obsolete because it was removed or is draining.
 struct LeavingServer
 {
     std::string id;
     std::uint64_t processStartMs = 0;
+    /// Records up to this sequence number are obsolete; 0 means all of them.
+    std::uint64_t obsoleteSequence = 0;
 };
 
 /// The backend servers as of a position in the store's stream of records.
@@ -185,25 +191,33 @@
     {
         std::string id;
         std::string what;
-        std::uint64_t offset = 0;
+        StorePosition position;
     };
 
-    /// Merges \a records. A record is ignored if its offset is not above that of the known record
-    /// of the same server. Returns the changes that affect routing.
+    /// True if \a record replaces what is known of its server. Until the store has been restored
+    /// from a copy, the higher position decides. After that, the position does not show whether a
+    /// record comes from the copy: the sequence number decides between records of one process, and
+    /// the start time between records of different processes from different eras.
+    [[nodiscard]] bool accepts(const ServerRecord &record) const;
+    /// Merges the \a records that it accepts. Returns the changes that affect routing.
     std::vector<Change> merge(const std::vector<ServerRecord> &records, TimePoint now);
     /// Merges the complete set of records as of the position \a end. Known servers that are
     /// missing from it were removed before \a end, unless their record was written at \a end or
-    /// later. Returns the changes that affect routing.
-    std::vector<Change> mergeSnapshot(const std::vector<ServerRecord> &records, std::uint64_t end,
+    /// later. In the first snapshot of an era they may be missing because the copy is older than
+    /// their registration; they stay usable for a grace period. Returns the changes that affect
+    /// routing.
+    std::vector<Change> mergeSnapshot(const std::vector<ServerRecord> &records, StorePosition end,
                                       TimePoint now);
-    /// Records that a process of a backend server leaves, as it said itself. The mark outlives
-    /// later records of the same process, unless they say draining and then ready. Returns the
-    /// change if the server was usable until now.
-    std::optional<Change> markLeaving(const LeavingServer &leaving);
-    /// Returns the processes that said that they leave while their record still says ready.
+    /// Records that a process of a backend server leaves, as it said itself, or that its records
+    /// up to a sequence number are obsolete. The first mark outlives later records of the same
+    /// process, unless they say draining and then ready; the second ends with a record that has a
+    /// higher sequence number. Returns the change if the server was usable until now.
+    std::optional<Change> markLeaving(const LeavingServer &leaving, TimePoint now);
+    /// Returns the processes that said that they leave while their record still says ready. After
+    /// the store has been restored from a copy, also those that were removed or are draining.
     [[nodiscard]] std::vector<LeavingServer> leavingServers() const;
     /// Records that all records before \a position have been merged.
-    void advanceTo(std::uint64_t position);
+    void advanceTo(StorePosition position);
     /// Record the outcome of a call to the store. Servers whose removal is read during or shortly
     /// after an outage stay usable for a grace period, in which they can register again.
     void storeAnswered(TimePoint now);
@@ -213,21 +227,40 @@
     std::vector<Change> expire(TimePoint now);
 
     [[nodiscard]] bool hasSnapshot() const { return m_hasSnapshot; }
-    [[nodiscard]] std::uint64_t position() const { return m_position; }
+    [[nodiscard]] StorePosition position() const { return m_position; }
     [[nodiscard]] const std::map<std::string, KnownServer> &servers() const { return m_servers; }
     /// True if new requests may be sent to \a server.
     static bool isUsable(const KnownServer &server);
 
 private:
+    /// The last record of a process that was removed or is draining.
+    struct ObsoleteRecords
+    {
+        std::uint64_t processStartMs = 0;
+        std::uint64_t sequence = 0;
+        TimePoint recordedAt;
+        /// Another instance reported it, which happens only after a restore of the store.
+        bool isFromPeer = false;
+    };
+
     std::optional<Change> mergeRecord(const ServerRecord &record, TimePoint now);
+    std::optional<Change> mergeEntry(const ServerRecord &record, TimePoint now);
+    std::optional<Change> mergeRemoval(const ServerRecord &record, TimePoint now);
+    std::optional<Change> markObsolete(const LeavingServer &leaving, TimePoint now);
+    void recordObsolete(const std::string &id, const ObsoleteRecords &obsolete);
+    [[nodiscard]] bool isObsolete(const ServerEntry &entry) const;
     [[nodiscard]] bool hasEntry(const std::string &id) const;
     [[nodiscard]] std::optional<TimePoint> removalGrace(TimePoint now) const;
 
     std::map<std::string, KnownServer> m_servers;
     /// Start times of leaving processes by server id, also of servers that are not known yet.
     std::map<std::string, std::uint64_t> m_leaving;
-    std::uint64_t m_position = 0;
+    /// By server id, also of servers that are not known yet.
+    std::map<std::string, ObsoleteRecords> m_obsolete;
+    StorePosition m_position;
     bool m_hasSnapshot = false;
+    /// True while the first snapshot of an era is merged.
+    bool m_isFirstOfEra = false;
     std::optional<TimePoint> m_outageSince;
     std::optional<TimePoint> m_outageEnded;
 };
--- a/packages/fleet/src/serverdirectory.cpp
+++ b/packages/fleet/src/serverdirectory.cpp
@@ -17,6 +17,15 @@
 constexpr Duration outageDetectionDelay = milliseconds(1000);
 /// Bound of the memory for leaving processes; more than the servers of a fleet.
 constexpr std::size_t maxLeavingServers = 10000;
+/// Obsolete records are remembered for this long; a copy from which the store is restored is some
+/// seconds old.
+constexpr Duration obsoleteLifetime = std::chrono::minutes(10);
+
+/// True if the sequence numbers of the two records tell which one is newer.
+bool haveSameOrigin(std::uint64_t start, std::uint64_t sequence, const ServerEntry &entry)
+{
+    return start == entry.processStartMs && sequence > 0 && entry.sequence > 0;
+}
 
 } // namespace
 
@@ -51,57 +60,162 @@
 {
     if (m_outageSince)
         return now + registrationGrace + outageDetectionDelay;
+    if (m_isFirstOfEra)
+        return now + registrationGrace;
     if (m_outageEnded && now - *m_outageEnded < registrationGrace)
         return *m_outageEnded + registrationGrace;
     return std::nullopt;
 }
 
+bool ServerDirectory::isObsolete(const ServerEntry &entry) const
+{
+    const auto found = m_obsolete.find(entry.id);
+    if (found == m_obsolete.end())
+        return false;
+    const ObsoleteRecords &obsolete = found->second;
+    if (haveSameOrigin(obsolete.processStartMs, obsolete.sequence, entry))
+        return entry.sequence <= obsolete.sequence;
+    return obsolete.isFromPeer && entry.processStartMs < obsolete.processStartMs;
+}
+
+bool ServerDirectory::accepts(const ServerRecord &record) const
+{
+    const auto found = m_servers.find(record.id);
+    if (found == m_servers.end()) {
+        // A server that the newer era does not know may have been lost with the older one.
+        return record.entry && record.position.era >= m_position.era;
+    }
+    const ServerRecord &known = found->second.record;
+    const bool isLater = record.position > known.position;
+    const bool hasEra = record.position.era > 0 || known.position.era > 0;
+    if (!record.entry || !hasEra)
+        return isLater;
+    const bool hasOtherEra = record.position.era != known.position.era;
+    if (known.entry) {
+        if (haveSameOrigin(known.entry->processStartMs, known.entry->sequence, *record.entry))
+            return record.entry->sequence > known.entry->sequence;
+        if (hasOtherEra && record.entry->processStartMs != known.entry->processStartMs)
+            return record.entry->processStartMs > known.entry->processStartMs;
+        return isLater;
+    }
+    const auto obsolete = m_obsolete.find(record.id);
+    const bool isEarlierProcess = obsolete != m_obsolete.end() && hasOtherEra
+        && record.entry->processStartMs < obsolete->second.processStartMs;
+    return isLater && !isObsolete(*record.entry) && !isEarlierProcess;
+}
+
 std::optional<ServerDirectory::Change> ServerDirectory::mergeRecord(const ServerRecord &record,
                                                                     TimePoint now)
 {
-    const auto found = m_servers.find(record.id);
-    if (found != m_servers.end() && record.offset <= found->second.record.offset)
-        return std::nullopt;
-    if (found == m_servers.end() && !record.entry)
+    if (!accepts(record)) {
+        // Later records of this era are compared with the position of the obsolete one.
+        const auto found = m_servers.find(record.id);
+        if (found != m_servers.end())
+            found->second.record.position =
+                std::max(found->second.record.position, record.position);
         return std::nullopt;
+    }
+    return record.entry ? mergeEntry(record, now) : mergeRemoval(record, now);
+}
+
+std::optional<ServerDirectory::Change> ServerDirectory::mergeEntry(const ServerRecord &record,
+                                                                   TimePoint now)
+{
     KnownServer &server = m_servers[record.id];
     const bool wasUsable = isUsable(server);
     const bool wasLapsed = server.removalGraceUntil.has_value();
     const std::optional<ServerEntry> before = server.entry;
+    const StorePosition position = std::max(server.record.position, record.position);
     server.record = record;
-    Change change{record.id, {}, record.offset};
-    if (record.entry) {
-        server.removalGraceUntil.reset();
-        server.entry = record.entry;
-        const bool hasReturned = before && before->phase == ServerPhase::Draining
-            && record.entry->phase == ServerPhase::Ready;
-        const auto leaving = m_leaving.find(record.id);
-        if (leaving != m_leaving.end()
-            && (hasReturned || leaving->second != record.entry->processStartMs))
-            m_leaving.erase(leaving);
-        server.isLeaving = m_leaving.contains(record.id);
-        if (!before || before->processStartMs != record.entry->processStartMs
-            || record.entry->slowStartRemaining > Duration::zero())
-            server.slowStartUntil = now + record.entry->slowStartRemaining;
-        const bool isSame = before && before->hasSameRoutingAs(*record.entry);
-        if (isSame && !wasLapsed && wasUsable == isUsable(server))
-            return std::nullopt;
-        change.what = !before                              ? "joined"
-            : record.entry->phase == ServerPhase::Draining ? "draining"
-                                                           : "changed";
-        return change;
-    }
+    server.record.position = position;
+    server.removalGraceUntil.reset();
+    server.entry = record.entry;
+    const bool hasReturned = before && before->phase == ServerPhase::Draining
+        && record.entry->phase == ServerPhase::Ready;
+    const auto leaving = m_leaving.find(record.id);
+    if (leaving != m_leaving.end()
+        && (hasReturned || leaving->second != record.entry->processStartMs))
+        m_leaving.erase(leaving);
+    const auto obsolete = m_obsolete.find(record.id);
+    // Before the first restore, the position alone shows that the record is newer.
+    if (position.era == 0 && record.entry->phase == ServerPhase::Ready
+        && obsolete != m_obsolete.end() && !obsolete->second.isFromPeer)
+        m_obsolete.erase(obsolete);
+    if (record.entry->phase == ServerPhase::Draining)
+        recordObsolete(record.id,
+                       {record.entry->processStartMs, record.entry->sequence, now, false});
+    server.isLeaving = m_leaving.contains(record.id) || isObsolete(*record.entry);
+    if (!before || before->processStartMs != record.entry->processStartMs
+        || record.entry->slowStartRemaining > Duration::zero())
+        server.slowStartUntil = now + record.entry->slowStartRemaining;
+    const bool isSame = before && before->hasSameRoutingAs(*record.entry);
+    if (isSame && !wasLapsed && wasUsable == isUsable(server))
+        return std::nullopt;
+    const std::string_view what = !before              ? "joined"
+        : record.entry->phase == ServerPhase::Draining ? "draining"
+                                                       : "changed";
+    return Change{record.id, std::string(what), position};
+}
+
+std::optional<ServerDirectory::Change> ServerDirectory::mergeRemoval(const ServerRecord &record,
+                                                                     TimePoint now)
+{
+    KnownServer &server = m_servers[record.id];
+    const bool wasUsable = isUsable(server);
+    server.record = record;
+    if (server.entry)
+        recordObsolete(record.id,
+                       {server.entry->processStartMs, server.entry->sequence, now, false});
     if (wasUsable)
         server.removalGraceUntil = removalGrace(now);
-    change.what = server.removalGraceUntil ? "lapsed" : "removed";
+    const std::string_view what = server.removalGraceUntil ? "lapsed" : "removed";
     if (!server.removalGraceUntil)
         server.entry.reset();
-    return change;
+    return Change{record.id, std::string(what), record.position};
+}
+
+void ServerDirectory::recordObsolete(const std::string &id, const ObsoleteRecords &obsolete)
+{
+    if (obsolete.sequence == 0)
+        return;
+    if (!m_obsolete.contains(id) && m_obsolete.size() >= maxLeavingServers) {
+        const auto oldest = std::min_element(
+            m_obsolete.begin(), m_obsolete.end(), [](const auto &left, const auto &right) {
+                return left.second.recordedAt < right.second.recordedAt;
+            });
+        m_obsolete.erase(oldest);
+    }
+    const auto [known, isNew] = m_obsolete.try_emplace(id, obsolete);
+    const auto order = [](const ObsoleteRecords &each) {
+        return std::tie(each.processStartMs, each.sequence);
+    };
+    if (isNew || order(known->second) > order(obsolete))
+        return;
+    const bool isFromPeer = known->second.isFromPeer || obsolete.isFromPeer;
+    known->second = obsolete;
+    known->second.isFromPeer = isFromPeer;
 }
 
-std::optional<ServerDirectory::Change> ServerDirectory::markLeaving(const LeavingServer &leaving)
+std::optional<ServerDirectory::Change> ServerDirectory::markObsolete(const LeavingServer &leaving,
+                                                                     TimePoint now)
 {
     const auto found = m_servers.find(leaving.id);
+    const bool isKnown = found != m_servers.end() && found->second.entry;
+    if (isKnown && found->second.entry->processStartMs > leaving.processStartMs)
+        return std::nullopt;
+    recordObsolete(leaving.id, {leaving.processStartMs, leaving.obsoleteSequence, now, true});
+    if (!isKnown || !isUsable(found->second) || !isObsolete(*found->second.entry))
+        return std::nullopt;
+    found->second.isLeaving = true;
+    return Change{leaving.id, "obsolete", found->second.record.position};
+}
+
+std::optional<ServerDirectory::Change> ServerDirectory::markLeaving(const LeavingServer &leaving,
+                                                                    TimePoint now)
+{
+    if (leaving.obsoleteSequence > 0)
+        return markObsolete(leaving, now);
+    const auto found = m_servers.find(leaving.id);
     const bool isKnown = hasEntry(leaving.id);
     if (isKnown && found->second.entry->processStartMs > leaving.processStartMs)
         return std::nullopt;
@@ -114,7 +228,7 @@
     if (!isKnown || found->second.entry->processStartMs != start || !isUsable(found->second))
         return std::nullopt;
     found->second.isLeaving = true;
-    return Change{leaving.id, "leaving", found->second.record.offset};
+    return Change{leaving.id, "leaving", found->second.record.position};
 }
 
 bool ServerDirectory::hasEntry(const std::string &id) const
@@ -131,7 +245,16 @@
         const bool isReady = found != m_servers.end() && found->second.entry
             && found->second.entry->phase == ServerPhase::Ready;
         if (isReady || found == m_servers.end())
-            leaving.push_back({id, start});
+            leaving.push_back({id, start, 0});
+    }
+    if (m_position.era == 0)
+        return leaving;
+    for (const auto &[id, obsolete] : m_obsolete) {
+        const auto found = m_servers.find(id);
+        // A server in its grace period is expected to register again.
+        if (found != m_servers.end() && found->second.removalGraceUntil)
+            continue;
+        leaving.push_back({id, obsolete.processStartMs, obsolete.sequence});
     }
     return leaving;
 }
@@ -148,23 +271,27 @@
 }
 
 std::vector<ServerDirectory::Change>
-ServerDirectory::mergeSnapshot(const std::vector<ServerRecord> &records, std::uint64_t end,
+ServerDirectory::mergeSnapshot(const std::vector<ServerRecord> &records, StorePosition end,
                                TimePoint now)
 {
     std::vector<ServerRecord> all = records;
     std::set<std::string> present;
     for (const ServerRecord &record : records)
         present.insert(record.id);
+    const StorePosition last{end.era, end.offset > 0 ? end.offset - 1 : 0};
     for (const auto &[id, server] : m_servers) {
-        // A record with an offset at or after the end was written after the snapshot began.
-        if (server.record.entry && server.record.offset < end && !present.contains(id))
-            all.push_back({id, end - 1, std::nullopt});
+        // A record with a position at or after the end was written after the snapshot began.
+        if (server.record.entry && server.record.position < end && !present.contains(id))
+            all.push_back({id, last, std::nullopt});
     }
+    m_isFirstOfEra = m_hasSnapshot && end.era > m_position.era;
     m_hasSnapshot = true;
-    return merge(all, now);
+    auto changes = merge(all, now);
+    m_isFirstOfEra = false;
+    return changes;
 }
 
-void ServerDirectory::advanceTo(std::uint64_t position)
+void ServerDirectory::advanceTo(StorePosition position)
 {
     m_position = std::max(m_position, position);
 }
@@ -179,8 +306,11 @@
             continue;
         server.removalGraceUntil.reset();
         server.entry.reset();
-        changes.push_back({id, "removed", server.record.offset});
+        changes.push_back({id, "removed", server.record.position});
     }
+    std::erase_if(m_obsolete, [now](const auto &each) {
+        return now - each.second.recordedAt > obsoleteLifetime;
+    });
     return changes;
 }
 
--- a/packages/fleet/tests/serverdirectorytest.cpp
+++ b/packages/fleet/tests/serverdirectorytest.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 using namespace apricotrock;
 using namespace apricotrock::fleet;
 using namespace std::chrono_literals;
@@ -17,12 +19,23 @@
     entry.address = {"127.0.0.1", 8000};
     entry.slots = 2;
     entry.phase = phase;
-    return {id, offset, entry};
+    return {id, {0, offset}, entry};
+}
+
+/// A record of one process, which numbers its records.
+ServerRecord makeProcess(const std::string &id, StorePosition position, std::uint64_t sequence,
+                         ServerPhase phase = ServerPhase::Ready)
+{
+    ServerRecord record = makeRecord(id, position.offset, phase);
+    record.position = position;
+    record.entry->processStartMs = 10;
+    record.entry->sequence = sequence;
+    return record;
 }
 
 ServerRecord makeRemoval(const std::string &id, std::uint64_t offset)
 {
-    return {id, offset, std::nullopt};
+    return {id, {0, offset}, std::nullopt};
 }
 
 bool isUsable(const ServerDirectory &directory, const std::string &id)
@@ -51,6 +64,15 @@
     CPPUNIT_TEST(leavingServerIsUsableAfterItHasReturned);
     CPPUNIT_TEST(markOfAnUnknownServerIsKept);
     CPPUNIT_TEST(markOfAnEarlierProcessIsIgnored);
+    CPPUNIT_TEST(obsoleteRecordOfARemovedProcessIsIgnored);
+    CPPUNIT_TEST(drainingThatTheCopyDoesNotHoldStaysInForce);
+    CPPUNIT_TEST(positionsAreGivenOutTwice);
+    CPPUNIT_TEST(serverMissingFromAnEraHasAGracePeriod);
+    CPPUNIT_TEST(erasOfSeveralPeersAreMergedInAnyOrder);
+    CPPUNIT_TEST(obsoleteRecordsAreReportedToOthers);
+    CPPUNIT_TEST(earlierProcessInTheCopyIsIgnored);
+    CPPUNIT_TEST(sequenceDoesNotMatterBeforeARestore);
+    CPPUNIT_TEST(obsoleteRecordsAreForgotten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -60,12 +82,12 @@
     {
         ServerDirectory directory;
         directory.merge({makeRecord("a", 1)}, m_now);
-        const auto change = directory.markLeaving({"a", 0});
+        const auto change = directory.markLeaving({"a", 0}, m_now);
         CPPUNIT_ASSERT(change && change->what == "leaving");
-        CPPUNIT_ASSERT(!directory.markLeaving({"a", 0}));
+        CPPUNIT_ASSERT(!directory.markLeaving({"a", 0}, m_now));
         directory.merge({makeRecord("a", 2)}, m_now);
         CPPUNIT_ASSERT(!isUsable(directory, "a"));
-        directory.mergeSnapshot({makeRecord("a", 3)}, 4, m_now);
+        directory.mergeSnapshot({makeRecord("a", 3)}, {0, 4}, m_now);
         CPPUNIT_ASSERT(!isUsable(directory, "a"));
         directory.storeFailed(m_now);
         directory.merge({makeRemoval("a", 5)}, m_now);
@@ -79,7 +101,7 @@
     {
         ServerDirectory directory;
         directory.merge({makeRecord("a", 1)}, m_now);
-        directory.markLeaving({"a", 0});
+        directory.markLeaving({"a", 0}, m_now);
         directory.merge({makeRecord("a", 2, ServerPhase::Draining)}, m_now);
         CPPUNIT_ASSERT(directory.leavingServers().empty());
         CPPUNIT_ASSERT(!directory.merge({makeRecord("a", 3)}, m_now).empty());
@@ -90,7 +112,7 @@
     void markOfAnUnknownServerIsKept()
     {
         ServerDirectory directory;
-        directory.markLeaving({"a", 0});
+        directory.markLeaving({"a", 0}, m_now);
         directory.merge({makeRecord("a", 1)}, m_now);
         CPPUNIT_ASSERT(!isUsable(directory, "a"));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.leavingServers().size());
@@ -103,8 +125,172 @@
         ServerRecord record = makeRecord("a", 1);
         record.entry->processStartMs = 20;
         directory.merge({record}, m_now);
-        CPPUNIT_ASSERT(!directory.markLeaving({"a", 10}));
+        CPPUNIT_ASSERT(!directory.markLeaving({"a", 10}, m_now));
+        CPPUNIT_ASSERT(isUsable(directory, "a"));
+    }
+
+    // Guards against using a removed server because the copy holds an earlier record of it, and
+    // against excluding it when it registers again.
+    void obsoleteRecordOfARemovedProcessIsIgnored()
+    {
+        ServerDirectory directory;
+        directory.merge({makeProcess("a", {0, 90}, 5)}, m_now);
+        directory.merge({makeRemoval("a", 100)}, m_now);
+        directory.mergeSnapshot({makeProcess("a", {1, 50}, 3)}, {1, 60}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "a"));
+        directory.merge({makeProcess("a", {1, 61}, 5)}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "a"));
+        const auto changes = directory.merge({makeProcess("a", {1, 62}, 6)}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.size());
+        CPPUNIT_ASSERT(isUsable(directory, "a"));
+    }
+
+    // Guards against using a draining server because the copy calls it ready.
+    void drainingThatTheCopyDoesNotHoldStaysInForce()
+    {
+        ServerDirectory directory;
+        directory.merge({makeProcess("a", {0, 90}, 3)}, m_now);
+        directory.merge({makeProcess("a", {0, 100}, 5, ServerPhase::Draining)}, m_now);
+        directory.mergeSnapshot({makeProcess("a", {1, 50}, 3)}, {1, 60}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "a"));
+        directory.merge({makeProcess("a", {1, 61}, 6)}, m_now);
+        CPPUNIT_ASSERT(isUsable(directory, "a"));
+    }
+
+    // Guards against ignoring what is written after the restore because its offset is not above
+    // that of a record which the store has lost, and against a late datagram with the lost one.
+    void positionsAreGivenOutTwice()
+    {
+        ServerDirectory directory;
+        directory.merge({makeProcess("a", {0, 90}, 3), makeProcess("b", {0, 91}, 8)}, m_now);
+        directory.advanceTo({0, 100});
+        directory.mergeSnapshot({makeProcess("a", {1, 50}, 2), makeProcess("b", {1, 51}, 8)},
+                                {1, 60}, m_now);
+        directory.advanceTo({1, 60});
+        CPPUNIT_ASSERT(directory.position() == (StorePosition{1, 60}));
+        directory.merge({makeProcess("a", {1, 61}, 4, ServerPhase::Draining)}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "a"));
+        directory.merge({{"b", {1, 62}, std::nullopt}}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "b"));
+        directory.merge({makeProcess("a", {0, 95}, 3), makeProcess("b", {0, 96}, 8)}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "a"));
+        CPPUNIT_ASSERT(!isUsable(directory, "b"));
+        directory.advanceTo({0, 200});
+        CPPUNIT_ASSERT(directory.position() == (StorePosition{1, 60}));
+    }
+
+    // Guards against removing all servers that registered after the copy was taken.
+    void serverMissingFromAnEraHasAGracePeriod()
+    {
+        ServerDirectory directory;
+        directory.mergeSnapshot({makeProcess("a", {0, 90}, 1), makeProcess("b", {0, 91}, 1)},
+                                {0, 100}, m_now);
+        directory.advanceTo({0, 100});
+        const auto changes = directory.mergeSnapshot({}, {1, 60}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes.size());
+        directory.advanceTo({1, 60});
+        m_now += 2s;
+        directory.expire(m_now);
         CPPUNIT_ASSERT(isUsable(directory, "a"));
+        directory.merge({makeProcess("a", {1, 61}, 2)}, m_now);
+        m_now += 200ms;
+        directory.expire(m_now);
+        CPPUNIT_ASSERT(isUsable(directory, "a"));
+        CPPUNIT_ASSERT(!isUsable(directory, "b"));
+        // Only the first read of an era is incomplete.
+        directory.mergeSnapshot({}, {1, 70}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "a"));
+    }
+
+    // Guards against a result that depends on the order in which peers of both eras are heard.
+    void erasOfSeveralPeersAreMergedInAnyOrder()
+    {
+        const std::vector<ServerRecord> records = {
+            makeProcess("a", {0, 90}, 4), makeProcess("a", {0, 95}, 5, ServerPhase::Draining),
+            makeProcess("a", {1, 50}, 3), makeProcess("a", {1, 61}, 6)};
+        std::vector<std::size_t> order = {0, 1, 2, 3};
+        do {
+            ServerDirectory directory;
+            for (const std::size_t each : order) {
+                directory.merge({records[each]}, m_now);
+                const auto &entry = directory.servers().at("a").entry;
+                const bool isDraining = entry->sequence == 5;
+                CPPUNIT_ASSERT(isUsable(directory, "a") != isDraining);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), directory.servers().at("a").entry->sequence);
+            CPPUNIT_ASSERT(isUsable(directory, "a"));
+        } while (std::next_permutation(order.begin(), order.end()));
+    }
+
+    // Guards against an instance that starts after the restore and reads only the copy.
+    void obsoleteRecordsAreReportedToOthers()
+    {
+        ServerDirectory directory;
+        directory.merge({makeProcess("a", {0, 90}, 5), makeProcess("b", {0, 91}, 5)}, m_now);
+        directory.merge({makeRemoval("a", 100)}, m_now);
+        directory.merge({makeProcess("b", {0, 101}, 6, ServerPhase::Draining)}, m_now);
+        CPPUNIT_ASSERT(directory.leavingServers().empty());
+        const std::vector<ServerRecord> copy = {makeProcess("a", {1, 50}, 3),
+                                                makeProcess("b", {1, 51}, 3)};
+        directory.mergeSnapshot(copy, {1, 60}, m_now);
+        directory.advanceTo({1, 60});
+        const auto reported = directory.leavingServers();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), reported.size());
+        for (const bool isReportedFirst : {true, false}) {
+            ServerDirectory starting;
+            for (unsigned step = 0; step < 2; ++step) {
+                if ((step == 0) != isReportedFirst) {
+                    starting.mergeSnapshot(copy, {1, 60}, m_now);
+                    continue;
+                }
+                for (const LeavingServer &each : reported)
+                    starting.markLeaving(each, m_now);
+            }
+            CPPUNIT_ASSERT(!isUsable(starting, "a"));
+            CPPUNIT_ASSERT(!isUsable(starting, "b"));
+            starting.merge({makeProcess("a", {1, 61}, 6), makeProcess("b", {1, 62}, 7)}, m_now);
+            CPPUNIT_ASSERT(isUsable(starting, "a"));
+            CPPUNIT_ASSERT(isUsable(starting, "b"));
+        }
+    }
+
+    // Guards against a return to the previous process of a server that was replaced after the copy
+    // was taken.
+    void earlierProcessInTheCopyIsIgnored()
+    {
+        ServerDirectory directory;
+        directory.merge({makeProcess("a", {0, 90}, 1)}, m_now);
+        ServerRecord earlier = makeProcess("a", {1, 50}, 40);
+        earlier.entry->processStartMs -= 1;
+        directory.mergeSnapshot({earlier}, {1, 60}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), directory.servers().at("a").entry->sequence);
+        CPPUNIT_ASSERT(isUsable(directory, "a"));
+    }
+
+    // Guards against another order of records where the store was never restored.
+    void sequenceDoesNotMatterBeforeARestore()
+    {
+        ServerDirectory directory;
+        directory.merge({makeProcess("a", {0, 1}, 9, ServerPhase::Draining)}, m_now);
+        directory.merge({makeProcess("a", {0, 2}, 1)}, m_now);
+        CPPUNIT_ASSERT(isUsable(directory, "a"));
+        directory.merge({makeRemoval("a", 3)}, m_now);
+        directory.merge({makeProcess("a", {0, 4}, 1)}, m_now);
+        CPPUNIT_ASSERT(isUsable(directory, "a"));
+    }
+
+    // Guards against memory that grows with each server that ever was removed.
+    void obsoleteRecordsAreForgotten()
+    {
+        ServerDirectory directory;
+        directory.mergeSnapshot({}, {1, 0}, m_now);
+        directory.advanceTo({1, 0});
+        for (unsigned i = 0; i < 10010; ++i)
+            directory.markLeaving({"server-" + std::to_string(i), 1, 1}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(10000), directory.leavingServers().size());
+        m_now += 11min;
+        directory.expire(m_now);
+        CPPUNIT_ASSERT(directory.leavingServers().empty());
     }
 
     // Guards against a stale read or a delayed datagram that reverts a server from draining to
@@ -130,7 +316,7 @@
     {
         ServerDirectory directory;
         directory.merge({makeRecord("a", 1), makeRecord("b", 2)}, m_now);
-        directory.mergeSnapshot({makeRecord("b", 2)}, 10, m_now);
+        directory.mergeSnapshot({makeRecord("b", 2)}, {0, 10}, m_now);
         CPPUNIT_ASSERT(!isUsable(directory, "a"));
         CPPUNIT_ASSERT(isUsable(directory, "b"));
     }
@@ -140,7 +326,7 @@
     {
         ServerDirectory directory;
         directory.merge({makeRecord("new", 12)}, m_now);
-        directory.mergeSnapshot({makeRecord("b", 2)}, 10, m_now);
+        directory.mergeSnapshot({makeRecord("b", 2)}, {0, 10}, m_now);
         CPPUNIT_ASSERT(isUsable(directory, "new"));
     }
 
@@ -213,7 +399,7 @@
     {
         ServerDirectory directory;
         directory.merge({makeRecord("a", 1), makeRecord("b", 2)}, m_now);
-        directory.merge({{"a", 3, std::nullopt}}, m_now);
+        directory.merge({{"a", {0, 3}, std::nullopt}}, m_now);
         CPPUNIT_ASSERT(!isUsable(directory, "a"));
         CPPUNIT_ASSERT(isUsable(directory, "b"));
     }
--- a/packages/gateway/include/apricotrock/gateway.h
+++ b/packages/gateway/include/apricotrock/gateway.h
@@ -51,7 +51,7 @@
 struct StoredRecord
 {
     std::string key;
-    std::uint64_t offset = 0;
+    fleet::StorePosition position;
     /// Nothing if the key was removed.
     std::optional<std::string> value;
 };
@@ -60,9 +60,10 @@
 struct StoredRecords
 {
     std::vector<StoredRecord> records;
-    /// Offset after the last record of the topic.
-    std::uint64_t end = 0;
-    /// The store no longer holds the records from the position that was asked for.
+    /// Position after the last record of the topic, in the era of the answer.
+    fleet::StorePosition end;
+    /// The store does not hold the records from the position that was asked for: they have been
+    /// discarded, or the store was restored from a copy that is older than the position.
     bool isTruncated = false;
 };
 
@@ -81,8 +82,9 @@
     /// Reads the newest record of each key. Records written meanwhile may be among them; every
     /// record before `end` is.
     virtual void readNewest(Topic topic, ReadCallback callback) = 0;
-    /// Reads the records from \a position on, and waits up to \a wait for one.
-    virtual void readFrom(Topic topic, std::uint64_t position, Duration wait,
+    /// Reads the records from \a position on, and waits up to \a wait for one. If the answer has
+    /// another era than \a position, its records are not those that follow what was read before.
+    virtual void readFrom(Topic topic, fleet::StorePosition position, Duration wait,
                           ReadCallback callback) = 0;
     /// Writes one record. After an error it may have been written all the same.
     virtual void put(Topic topic, const std::string &key, const std::string &value,
--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -201,7 +201,7 @@
             .milliseconds("report_age", slot.reportAge)
             .milliseconds("waited", attempt.started - m_plan.arrived)
             .number("server_position",
-                    static_cast<std::int64_t>(m_path.m_context.servers.position()));
+                    static_cast<std::int64_t>(m_path.m_context.servers.position().offset));
     });
     m_attempts.push_back(std::move(attempt));
     const std::size_t index = m_attempts.size() - 1;
@@ -254,7 +254,7 @@
             .milliseconds("retry_after", slot.retryAfter)
             .milliseconds("waited", Clock::now() - m_plan.arrived)
             .number("server_position",
-                    static_cast<std::int64_t>(m_path.m_context.servers.position()));
+                    static_cast<std::int64_t>(m_path.m_context.servers.position().offset));
     });
     if (hasRunningAttempt())
         return;
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -135,7 +135,8 @@
         context.log.write(EventLog::Level::Info, "instance_ready", [this](LogLine &line) {
             line.number("configuration_version",
                         static_cast<std::int64_t>(context.routes.configuration()->version))
-                .number("server_position", static_cast<std::int64_t>(context.servers.position()));
+                .number("server_position",
+                        static_cast<std::int64_t>(context.servers.position().offset));
         });
         peers.announce();
     }
--- a/packages/gateway/src/peerchannel.cpp
+++ b/packages/gateway/src/peerchannel.cpp
@@ -64,6 +64,7 @@
         auto leaving = std::make_unique<wire::LeavingServerT>();
         leaving->id = servers[i].id;
         leaving->process_start_ms = servers[i].processStartMs;
+        leaving->obsolete_sequence = servers[i].obsoleteSequence;
         message.leaving.push_back(std::move(leaving));
     }
     return end;
@@ -542,7 +543,7 @@
     if (!message.leaving.empty()) {
         std::vector<fleet::LeavingServer> leaving;
         for (const auto &each : message.leaving)
-            leaving.push_back({each->id, each->process_start_ms});
+            leaving.push_back({each->id, each->process_start_ms, each->obsolete_sequence});
         m_handlers.leaving(leaving);
     }
     for (const auto &each : message.crashes)
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -50,7 +50,8 @@
     for (const StoredRecord &each : records) {
         auto update = std::make_unique<wire::ServerUpdateT>();
         update->id = each.key;
-        update->offset = each.offset;
+        update->offset = each.position.offset;
+        update->era = each.position.era;
         if (each.value)
             update->value.assign(each.value->begin(), each.value->end());
         table.updates.push_back(std::move(update));
@@ -78,7 +79,7 @@
     wire::ServerUpdatesT table;
     flatbuffers::GetRoot<wire::ServerUpdates>(bytes.data())->UnPackTo(&table);
     for (const auto &each : table.updates) {
-        StoredRecord record{each->id, each->offset, std::nullopt};
+        StoredRecord record{each->id, {each->era, each->offset}, std::nullopt};
         if (!each->value.empty())
             record.value = std::string(each->value.begin(), each->value.end());
         records.push_back(std::move(record));
@@ -88,16 +89,16 @@
 
 } // namespace
 
-void TableSync::broadcastUpdates(std::vector<StoredRecord> updates, std::uint64_t from,
-                                 std::uint64_t end)
+void TableSync::broadcastUpdates(std::vector<StoredRecord> updates, fleet::StorePosition from,
+                                 fleet::StorePosition end)
 {
     std::sort(updates.begin(), updates.end(),
-              [](const auto &left, const auto &right) { return left.offset < right.offset; });
+              [](const auto &left, const auto &right) { return left.position < right.position; });
     std::size_t next = 0;
     while (next < updates.size()) {
         wire::GatewayMessageT message;
         message.incarnation = m_context.membership.self().incarnation;
-        message.updates_from = from;
+        message.updates_from = from.offset;
         std::size_t bytes = 0;
         std::vector<StoredRecord> packed;
         while (next < updates.size() && (bytes == 0 || bytes < updateBytes)) {
@@ -106,11 +107,11 @@
         }
         packUpdates(packed, message);
         // Each datagram covers the positions up to the first update of the next one.
-        const std::uint64_t to = next < updates.size() ? updates[next].offset : end;
+        const fleet::StorePosition to = next < updates.size() ? updates[next].position : end;
         const wire::TableState now = state();
         message.tables = std::make_unique<wire::TableState>(
-            now.configuration_version(), to, std::min(now.last_change(), to), now.read_age_ms(),
-            now.store_era(), now.is_reader());
+            now.configuration_version(), to.offset, std::min(now.last_change(), to.offset),
+            now.read_age_ms(), to.era, now.is_reader());
         m_peers.broadcastTables(
             message, isReader() ? PeerChannel::Scope::Fleet : PeerChannel::Scope::OwnZone);
         from = to;
@@ -168,38 +169,50 @@
 {
     const wire::TableState &tables = *message.tables;
     handleConfiguration(ip, message);
+    // Positions of a peer without tables tell nothing.
+    if (tables.server_position() > 0 || tables.store_era() > 0)
+        handleEra(tables.store_era(), ip);
     if (!m_context.servers.hasSnapshot())
         fetchFirstTables(ip, tables);
     if (const auto updates = unpackUpdates(message); !updates)
         logUnusableTables(ip, updates.error().message);
     else if (!updates->empty())
-        applyServers(*updates, message.updates_from, tables.server_position(), false, "peer");
-    if (tables.is_reader()) {
-        const bool isBehind =
-            !m_context.servers.hasSnapshot() || tables.last_change() > m_context.servers.position();
-        if (!isBehind) {
-            const TimePoint readAt = Clock::now() - milliseconds(tables.read_age_ms());
-            m_lastReaderContact = std::max(m_lastReaderContact, readAt);
-            m_context.servers.advanceTo(tables.server_position());
-            // A recent read by the reader shows that the store is available to the fleet.
-            if (milliseconds(tables.read_age_ms()) < serverLongPollTimeout)
-                m_context.servers.storeAnswered(Clock::now());
-        } else if (m_context.servers.hasSnapshot()) {
-            scheduleCatchUp(ip, tables.last_change());
-        }
-    }
+        applyServers(*updates, {tables.store_era(), message.updates_from},
+                     {tables.store_era(), tables.server_position()}, false, "peer");
+    if (tables.is_reader())
+        handleReaderState(ip, tables);
     const fleet::Configuration *configuration = m_context.routes.configuration();
     const std::uint64_t version = configuration ? configuration->version : 0;
     if (tables.configuration_version() > version)
         fetchConfiguration(ip, tables.configuration_version());
 }
 
+void TableSync::handleReaderState(const std::string &ip, const wire::TableState &tables)
+{
+    const fleet::StorePosition position = m_context.servers.position();
+    const fleet::StorePosition lastChange{tables.store_era(), tables.last_change()};
+    // What a reader has read before the store was restored is obsolete. A reader of a newer era is
+    // a reason to read everything anew, not only the changes.
+    if (!m_context.servers.hasSnapshot() || tables.store_era() != position.era)
+        return;
+    if (lastChange > position) {
+        scheduleCatchUp(ip, lastChange);
+        return;
+    }
+    const TimePoint readAt = Clock::now() - milliseconds(tables.read_age_ms());
+    m_lastReaderContact = std::max(m_lastReaderContact, readAt);
+    m_context.servers.advanceTo({tables.store_era(), tables.server_position()});
+    // A recent read by the reader shows that the store is available to the fleet.
+    if (milliseconds(tables.read_age_ms()) < serverLongPollTimeout)
+        m_context.servers.storeAnswered(Clock::now());
+}
+
 void TableSync::handleLeaving(const std::vector<fleet::LeavingServer> &servers,
                               std::string_view source, bool tellsOthers)
 {
     std::vector<fleet::ServerDirectory::Change> changes;
     for (const fleet::LeavingServer &each : servers) {
-        auto change = m_context.servers.markLeaving(each);
+        auto change = m_context.servers.markLeaving(each, Clock::now());
         if (!change)
             continue;
         changes.push_back(std::move(*change));
@@ -227,11 +240,13 @@
 {
     if (!wantsServers)
         readConfiguration();
+    else if (needsNewRead())
+        readSnapshot();
     else if (m_context.servers.hasSnapshot())
         readServers();
 }
 
-void TableSync::scheduleCatchUp(const std::string &ip, std::uint64_t position)
+void TableSync::scheduleCatchUp(const std::string &ip, fleet::StorePosition position)
 {
     if (m_isCatchUpScheduled)
         return;
@@ -299,34 +314,51 @@
                                 [&ip](LogLine &line) { line.text("peer", ip); });
             readFromStore(wantsServers);
         });
-    connection->send(
-        loop::formatRequest("GET", path, {{"Host", ip}}, {}, false), false, fetchTimeout, nullptr,
-        [this, timer, ip, wantsServers](const loop::ClientResult &result) {
-            m_context.timers.cancel(timer);
-            m_isFetching = false;
-            if (result.status != loop::ClientStatus::ResponseReceived
-                || result.response.status != 200) {
-                logUnusableTables(ip, result.detail);
-                readFromStore(wantsServers);
-                return;
-            }
-            const std::string &body = result.response.body;
-            if (!wantsServers) {
-                applyConfiguration(body, "peer");
-                return;
-            }
-            flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(body.data()),
-                                           body.size());
-            if (!wire::VerifyGatewayMessageBuffer(verifier))
-                return;
-            wire::GatewayMessageT message;
-            wire::GetGatewayMessage(body.data())->UnPackTo(&message);
-            const auto updates = unpackUpdates(message);
-            if (!updates)
-                logUnusableTables(ip, updates.error().message);
-            else if (message.tables)
-                applyServers(*updates, 0, message.tables->server_position(), true, "peer");
-        });
+    connection->send(loop::formatRequest("GET", path, {{"Host", ip}}, {}, false), false,
+                     fetchTimeout, nullptr,
+                     [this, timer, ip, wantsServers](const loop::ClientResult &result) {
+                         m_context.timers.cancel(timer);
+                         m_isFetching = false;
+                         if (result.status != loop::ClientStatus::ResponseReceived
+                             || result.response.status != 200) {
+                             logUnusableTables(ip, result.detail);
+                             readFromStore(wantsServers);
+                             return;
+                         }
+                         const std::string &body = result.response.body;
+                         if (!wantsServers) {
+                             applyConfiguration(body, "peer");
+                             return;
+                         }
+                         flatbuffers::Verifier verifier(
+                             reinterpret_cast<const std::uint8_t *>(body.data()), body.size());
+                         if (!wire::VerifyGatewayMessageBuffer(verifier))
+                             return;
+                         wire::GatewayMessageT message;
+                         wire::GetGatewayMessage(body.data())->UnPackTo(&message);
+                         applyPeerTables(ip, message);
+                     });
+}
+
+void TableSync::applyPeerTables(const std::string &ip, const wire::GatewayMessageT &message)
+{
+    const auto updates = unpackUpdates(message);
+    if (!updates) {
+        logUnusableTables(ip, updates.error().message);
+        return;
+    }
+    if (!message.tables)
+        return;
+    const fleet::StorePosition end{message.tables->store_era(), message.tables->server_position()};
+    // The servers that a table of an older era does not hold may have registered since.
+    if (m_context.servers.hasSnapshot() && end.era < m_context.servers.position().era)
+        return;
+    std::vector<fleet::LeavingServer> leaving;
+    for (const auto &each : message.leaving)
+        leaving.push_back({each->id, each->process_start_ms, each->obsolete_sequence});
+    handleLeaving(leaving, "peer", false);
+    handleEra(end.era, ip);
+    applyServers(*updates, {}, end, true, "peer");
 }
 
 void TableSync::handlePeerRequest(const std::shared_ptr<loop::HttpExchange> &exchange)
@@ -352,11 +384,26 @@
     wire::GatewayMessageT message;
     message.tables = std::make_unique<wire::TableState>(state());
     std::vector<StoredRecord> updates;
+    const auto &servers = m_context.servers.servers();
     for (const auto &[id, record] : m_records) {
-        if (record.value)
+        const auto known = servers.find(id);
+        // A record that is missing from the first read of a new era belongs to an older one.
+        const bool isLost =
+            state().store_era() > 0 && (known == servers.end() || !known->second.record.entry);
+        if (record.value && !isLost)
             updates.push_back(record);
     }
     packUpdates(updates, message);
+    if (state().store_era() > 0) {
+        // The receiver may have read records from the copy that are obsolete.
+        for (const fleet::LeavingServer &each : m_context.servers.leavingServers()) {
+            auto leaving = std::make_unique<wire::LeavingServerT>();
+            leaving->id = each.id;
+            leaving->process_start_ms = each.processStartMs;
+            leaving->obsolete_sequence = each.obsoleteSequence;
+            message.leaving.push_back(std::move(leaving));
+        }
+    }
     flatbuffers::FlatBufferBuilder builder(4096);
     builder.Finish(wire::GatewayMessage::Pack(builder, &message), wire::GatewayMessageIdentifier());
     m_encodedTables.assign(reinterpret_cast<const char *>(builder.GetBufferPointer()),
--- a/packages/gateway/src/tablesync.cpp
+++ b/packages/gateway/src/tablesync.cpp
@@ -58,6 +58,14 @@
 /// Tables are requested from a peer if the store has not supplied all within this time.
 constexpr Duration storeTimeout = milliseconds(400);
 constexpr Duration fetchInterval = milliseconds(250);
+/// Instances that learn from a peer that the store was restored read it again at random within this
+/// time, so that it does not get all reads at once.
+constexpr Duration smallFleetRereadSpread = milliseconds(100);
+constexpr Duration largeFleetRereadSpread = milliseconds(600);
+/// Obsolete records are reported several times after a restore, because datagrams get lost and
+/// instances may be starting.
+constexpr unsigned obsoleteReports = 3;
+constexpr Duration obsoleteReportInterval = milliseconds(400);
 
 } // namespace
 
@@ -70,8 +78,11 @@
         const fleet::Configuration *configuration = m_context.routes.configuration();
         return configuration ? static_cast<double>(configuration->version) : 0.0;
     });
-    m_context.metrics.gauge("apricotrock_server_position", "Position in the server records.", {},
-                            [this] { return static_cast<double>(m_context.servers.position()); });
+    m_context.metrics.gauge(
+        "apricotrock_server_position", "Position in the server records.", {},
+        [this] { return static_cast<double>(m_context.servers.position().offset); });
+    m_context.metrics.gauge("apricotrock_store_era", "Highest era of the store that was reported.",
+                            {}, [this] { return static_cast<double>(m_storeEra); });
 }
 
 Result<void> TableSync::start()
@@ -103,11 +114,12 @@
 {
     const fleet::Configuration *configuration = m_context.routes.configuration();
     const auto age = std::chrono::duration_cast<milliseconds>(Clock::now() - m_lastSuccessfulRead);
+    const fleet::StorePosition position = m_context.servers.position();
     return {configuration ? configuration->version : 0,
-            m_context.servers.position(),
-            m_lastChange,
+            position.offset,
+            m_lastChange.era == position.era ? m_lastChange.offset : 0,
             static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), UINT32_MAX)),
-            0,
+            position.era,
             isReader() || isZoneReader()};
 }
 
@@ -150,7 +162,11 @@
 
 void TableSync::discoverInstances(TimePoint now)
 {
-    if (!isAlone()) {
+    if (m_isRegistered && m_registeredEra < m_storeEra) {
+        // The registration may have been written after the copy was taken.
+        if (now - m_registered > retryInterval)
+            registerInstance();
+    } else if (!isAlone()) {
         const bool isDue = m_completedAt != TimePoint() && now - m_completedAt > registrationDelay
             && isRegistrar();
         if (isDue && !m_isRegistered && now - m_registered > retryInterval)
@@ -203,10 +219,8 @@
                                     .milliseconds("reader_silent", now - m_lastReaderContact);
                             });
     }
-    if (!m_context.servers.hasSnapshot()) {
-        const unsigned doublings = std::min(m_failedSnapshots, maxSnapshotDoublings);
-        if (now >= m_storeReadFrom && now - m_serversRead > retryInterval * (1U << doublings))
-            readSnapshot();
+    if (!m_context.servers.hasSnapshot() || needsNewRead()) {
+        readMissingServers(now);
     } else if (isReading && now >= m_nextRead) {
         readServers();
     }
@@ -220,15 +234,87 @@
     } else if (isReading || awaitsFirstConfiguration) {
         watchConfiguration();
     }
-    if (!isComplete() && now - m_tablesFetched > fetchInterval && now - m_started > storeTimeout) {
-        // A peer may have the tables while the store is unavailable.
-        const auto serving = m_context.membership.serving();
-        if (!serving.empty()) {
-            const auto index =
-                static_cast<std::size_t>(now.time_since_epoch().count() / 1000) % serving.size();
-            fetchTables(serving[index], !m_context.servers.hasSnapshot());
-        }
+    fetchMissingTables(now);
+}
+
+void TableSync::readMissingServers(TimePoint now)
+{
+    const unsigned doublings = std::min(m_failedSnapshots, maxSnapshotDoublings);
+    const TimePoint due = m_context.servers.hasSnapshot() ? m_rereadFrom : m_storeReadFrom;
+    if (now >= due && now - m_serversRead > retryInterval * (1U << doublings))
+        readSnapshot();
+}
+
+void TableSync::fetchMissingTables(TimePoint now)
+{
+    if (now - m_tablesFetched <= fetchInterval || now - m_started <= storeTimeout)
+        return;
+    if (needsNewRead()) {
+        if ((m_isStoreFailing || m_failedSnapshots > 0) && !m_eraSource.empty())
+            fetchTables(m_eraSource, true);
+        return;
+    }
+    if (isComplete())
+        return;
+    // A peer may have the tables while the store is unavailable.
+    const auto serving = m_context.membership.serving();
+    if (serving.empty())
+        return;
+    const auto index =
+        static_cast<std::size_t>(now.time_since_epoch().count() / 1000) % serving.size();
+    fetchTables(serving[index], !m_context.servers.hasSnapshot());
+}
+
+bool TableSync::needsNewRead() const
+{
+    return m_context.servers.hasSnapshot() && m_context.servers.position().era < m_storeEra;
+}
+
+bool TableSync::acceptsEra(std::uint32_t era)
+{
+    if (era < m_storeEra) {
+        m_context
+            .counter("store_answers_obsolete_total",
+                     "Answers of the store from before it was restored from a copy.")
+            .add();
+        return false;
     }
+    handleEra(era, {});
+    return true;
+}
+
+void TableSync::handleEra(std::uint32_t era, const std::string &source)
+{
+    const bool isRestored = m_isEraKnown && era > m_storeEra;
+    const std::uint32_t before = m_storeEra;
+    m_isEraKnown = true;
+    m_storeEra = std::max(m_storeEra, era);
+    if (!source.empty() && era == m_storeEra && needsNewRead())
+        m_eraSource = source;
+    if (!isRestored)
+        return;
+    m_context.log.write(EventLog::Level::Warning, "store_era_changed", [&](LogLine &line) {
+        line.number("era", static_cast<std::int64_t>(era))
+            .number("before", static_cast<std::int64_t>(before))
+            .text("source", source.empty() ? "store" : "peer");
+    });
+    m_hasConfigurationPosition = false;
+    m_failedSnapshots = 0;
+    m_rereadFrom = Clock::now();
+    if (source.empty())
+        readConfiguration();
+    else
+        m_rereadFrom += randomPart(m_context.membership.usesZoneReports() ? largeFleetRereadSpread
+                                                                          : smallFleetRereadSpread);
+}
+
+void TableSync::reportObsoleteServers()
+{
+    if (m_obsoleteReports == 0)
+        return;
+    --m_obsoleteReports;
+    m_peers.broadcastLeaving(m_context.servers.leavingServers());
+    m_context.timers.callAfter(obsoleteReportInterval, [this] { reportObsoleteServers(); });
 }
 
 void TableSync::handleStoreSuccess()
@@ -274,8 +360,10 @@
                 handleStoreFailure("read_servers", result.error());
                 return;
             }
-            m_failedSnapshots = 0;
-            applyServers(result->records, 0, result->end, true, "store");
+            if (acceptsEra(result->end.era)) {
+                m_failedSnapshots = 0;
+                applyServers(result->records, {}, result->end, true, "store");
+            }
             handleStoreSuccess();
         });
 }
@@ -293,7 +381,7 @@
         return;
     m_isReadingServers = true;
     m_serversRead = Clock::now();
-    const std::uint64_t from = m_context.servers.position();
+    const fleet::StorePosition from = m_context.servers.position();
     m_context.adapter.store->readFrom(
         Topic::BackendServers, from, wait, [this, from](Result<StoredRecords> result) {
             m_isReadingServers = false;
@@ -305,11 +393,20 @@
             }
             m_failedReads = 0;
             m_nextRead = m_serversRead + shortestReadInterval();
+            if (!acceptsEra(result->end.era)) {
+                handleStoreSuccess();
+                return;
+            }
+            if (result->end.era != from.era) {
+                handleStoreSuccess();
+                readSnapshot();
+                return;
+            }
             if (result->isTruncated) {
-                m_context.log.write(EventLog::Level::Warning, "store_history_lost",
-                                    [from](LogLine &line) {
-                                        line.number("position", static_cast<std::int64_t>(from));
-                                    });
+                m_context.log.write(
+                    EventLog::Level::Warning, "store_history_lost", [from](LogLine &line) {
+                        line.number("position", static_cast<std::int64_t>(from.offset));
+                    });
                 handleStoreSuccess();
                 readSnapshot();
                 return;
@@ -325,37 +422,50 @@
         });
 }
 
-void TableSync::applyServers(const std::vector<StoredRecord> &records, std::uint64_t from,
-                             std::uint64_t end, bool isSnapshot, std::string_view source)
+void TableSync::keepRecord(const StoredRecord &record, const fleet::ServerRecord &decoded)
+{
+    const bool isNewer = m_context.servers.accepts(decoded);
+    StoredRecord &known = m_records[record.key];
+    known.key = record.key;
+    known.position = std::max(known.position, record.position);
+    if (!isNewer)
+        return;
+    // Peers need to know only that a record names no server. It can be too large for a datagram.
+    if (decoded.entry)
+        known.value = record.value;
+    else
+        known.value.reset();
+}
+
+void TableSync::applyServers(const std::vector<StoredRecord> &records, fleet::StorePosition from,
+                             fleet::StorePosition end, bool isSnapshot, std::string_view source)
 {
     const TimePoint now = Clock::now();
     std::vector<fleet::ServerRecord> decoded;
     for (const StoredRecord &record : records) {
-        fleet::ServerRecord each{record.key, record.offset, std::nullopt};
+        fleet::ServerRecord each{record.key, record.position, std::nullopt};
         if (record.value)
             each.entry = m_context.adapter.decodeServer(record.key, *record.value);
-        const bool isUnreadable = record.value && !each.entry;
-        if (isUnreadable)
+        if (record.value && !each.entry)
             m_context
                 .counter("server_records_unreadable_total",
                          "Records of backend servers that name no usable server.")
                 .add();
+        keepRecord(record, each);
         decoded.push_back(std::move(each));
-        StoredRecord &known = m_records[record.key];
-        if (record.offset < known.offset)
-            continue;
-        known = record;
-        // Peers need to know only that the record names no server. It can be too large for a
-        // datagram.
-        if (isUnreadable)
-            known.value.reset();
     }
+    const fleet::StorePosition before = m_context.servers.position();
+    const bool isRestored = isSnapshot && m_context.servers.hasSnapshot() && end.era > before.era;
     const auto changes = isSnapshot ? m_context.servers.mergeSnapshot(decoded, end, now)
                                     : m_context.servers.merge(decoded, now);
-    if (from <= m_context.servers.position() || isSnapshot)
+    if ((from.era == before.era && from <= before) || isSnapshot)
         m_context.servers.advanceTo(end);
     for (const auto &change : changes)
-        m_lastChange = std::max(m_lastChange, change.offset + 1);
+        m_lastChange = std::max(m_lastChange, {change.position.era, change.position.offset + 1});
+    if (isRestored && (isReader() || isZoneFetcher())) {
+        m_obsoleteReports = obsoleteReports;
+        reportObsoleteServers();
+    }
     if (changes.empty())
         return;
     logChanges(changes, source);
@@ -376,7 +486,7 @@
         m_context.log.write(EventLog::Level::Info, "server_changed", [&](LogLine &line) {
             line.text("server", change.id)
                 .text("change", change.what)
-                .number("offset", static_cast<std::int64_t>(change.offset))
+                .number("offset", static_cast<std::int64_t>(change.position.offset))
                 .text("source", source);
         });
     }
@@ -392,9 +502,10 @@
         return;
     }
     m_isWatching = true;
+    const fleet::StorePosition from = m_configurationPosition;
     m_context.adapter.store->readFrom(
-        Topic::Configuration, m_configurationPosition, configurationLongPollTimeout,
-        [this](Result<StoredRecords> result) {
+        Topic::Configuration, from, configurationLongPollTimeout,
+        [this, from](Result<StoredRecords> result) {
             m_configurationRead = Clock::now();
             if (!result) {
                 handleStoreFailure("watch_configuration", result.error());
@@ -404,7 +515,9 @@
             }
             m_isWatching = false;
             handleStoreSuccess();
-            if (result->isTruncated) {
+            if (!acceptsEra(result->end.era))
+                return;
+            if (result->isTruncated || result->end.era != from.era) {
                 readConfiguration();
                 return;
             }
@@ -426,7 +539,10 @@
             return;
         }
         handleStoreSuccess();
-        m_configurationPosition = std::max(m_configurationPosition, result->end);
+        if (!acceptsEra(result->end.era))
+            return;
+        // Not the higher of both: it may not exist after a restore of the store.
+        m_configurationPosition = result->end;
         m_hasConfigurationPosition = true;
         applyConfigurationRecords(result->records);
     });
@@ -477,13 +593,17 @@
         return;
     m_isRegistering = true;
     m_registered = Clock::now();
+    const std::uint32_t era = m_storeEra;
     const nlohmann::json value = {{"zone", m_context.settings.availabilityZone}};
     m_context.adapter.store->put(Topic::Instances, m_context.settings.ip, value.dump(),
-                                 [this](Result<void> result) {
+                                 [this, era](Result<void> result) {
                                      m_isRegistering = false;
-                                     m_isRegistered = result.has_value();
-                                     if (!result)
+                                     if (!result) {
                                          handleStoreFailure("register", result.error());
+                                         return;
+                                     }
+                                     m_isRegistered = true;
+                                     m_registeredEra = era;
                                  });
 }
 
@@ -499,6 +619,10 @@
             m_nextDiscovery = now + retryInterval * (1U << doublings) + randomPart(retryInterval);
             return;
         }
+        if (!acceptsEra(result->end.era)) {
+            m_nextDiscovery = now + retryInterval;
+            return;
+        }
         m_failedDiscoveries = 0;
         bool hasNewPeer = false;
         for (const StoredRecord &record : result->records) {
--- a/packages/gateway/src/tablesync.h
+++ b/packages/gateway/src/tablesync.h
@@ -72,19 +72,38 @@
     /// Records a successful read of the backend servers at \a readAt.
     void recordServerRead(TimePoint readAt);
     void handleStoreFailure(std::string_view operation, const Error &error);
-    void applyServers(const std::vector<StoredRecord> &records, std::uint64_t from,
-                      std::uint64_t end, bool isSnapshot, std::string_view source);
+    void applyServers(const std::vector<StoredRecord> &records, fleet::StorePosition from,
+                      fleet::StorePosition end, bool isSnapshot, std::string_view source);
+    /// Updates the raw record that is sent to peers, before \a decoded is merged.
+    void keepRecord(const StoredRecord &record, const fleet::ServerRecord &decoded);
     void applyConfiguration(const std::string &text, std::string_view source);
     void applyConfigurationRecords(const std::vector<StoredRecord> &records);
     /// Sends the changes between two positions to all instances.
-    void broadcastUpdates(std::vector<StoredRecord> updates, std::uint64_t from, std::uint64_t end);
+    void broadcastUpdates(std::vector<StoredRecord> updates, fleet::StorePosition from,
+                          fleet::StorePosition end);
+    /// Notes the era of an answer of the store. Returns false if the answer is obsolete.
+    bool acceptsEra(std::uint32_t era);
+    /// Schedules a new read of the newest records if \a era is higher than all before. \a source is
+    /// the peer that reported it, or empty for the store.
+    void handleEra(std::uint32_t era, const std::string &source);
+    /// True while the backend servers have not been read in the newest era.
+    [[nodiscard]] bool needsNewRead() const;
+    /// Reads all backend servers when it is time, from the store or a peer.
+    void readMissingServers(TimePoint now);
+    /// Fetches the tables that are missing from a peer while the store does not supply them.
+    void fetchMissingTables(TimePoint now);
+    /// Tells the other instances which records of the copy are obsolete.
+    void reportObsoleteServers();
+    void applyPeerTables(const std::string &ip, const wire::GatewayMessageT &message);
+    /// Compares the position of a reader with that of this instance.
+    void handleReaderState(const std::string &ip, const wire::TableState &tables);
     /// Logs that the tables of a peer could not be used.
     void logUnusableTables(const std::string &ip, std::string_view reason);
     /// Reads the tables from the store after a peer could not supply them.
     void readFromStore(bool wantsServers);
     /// Schedules a read of the changes up to \a position, which the peer at \a ip knows. It is
     /// skipped if they arrive meanwhile.
-    void scheduleCatchUp(const std::string &ip, std::uint64_t position);
+    void scheduleCatchUp(const std::string &ip, fleet::StorePosition position);
     void fetchConfiguration(const std::string &ip, std::uint64_t version);
     /// True if this instance fetches new configurations for its availability zone.
     [[nodiscard]] bool isZoneFetcher() const;
@@ -101,11 +120,22 @@
     loop::HttpListener m_listener;
     /// Raw records of the backend servers, sent to peers.
     std::map<std::string, StoredRecord> m_records;
-    std::uint64_t m_lastChange = 0;
+    /// Position after the last record that changed routing.
+    fleet::StorePosition m_lastChange;
     /// Leaving servers that the other instances are not told of yet.
     std::vector<fleet::LeavingServer> m_newlyLeaving;
-    std::uint64_t m_configurationPosition = 0;
+    fleet::StorePosition m_configurationPosition;
     bool m_hasConfigurationPosition = false;
+    /// The highest era that the store or a peer has reported, and whether any has.
+    std::uint32_t m_storeEra = 0;
+    bool m_isEraKnown = false;
+    /// The peer that last reported the newest era before this instance had read it.
+    std::string m_eraSource;
+    /// Time at which the backend servers are read again after a change of the era.
+    TimePoint m_rereadFrom;
+    unsigned m_obsoleteReports = 0;
+    /// Era in which this instance last registered itself.
+    std::uint32_t m_registeredEra = 0;
     TimePoint m_started;
     /// The store is not read before this, because peers are likely to supply the tables.
     TimePoint m_storeReadFrom;
@@ -114,7 +144,7 @@
     /// The backend servers as sent to peers, when they were encoded, and at which position.
     std::string m_encodedTables;
     TimePoint m_tablesEncoded;
-    std::uint64_t m_encodedPosition = 0;
+    fleet::StorePosition m_encodedPosition;
     /// Time at which all tables were first available.
     TimePoint m_completedAt;
     TimePoint m_lastReaderContact;
--- a/scripts/soakbed.py
+++ b/scripts/soakbed.py
@@ -249,7 +249,7 @@
         super().__init__(name, folder, ip, program)
         self.service, self.work_ms = service, work_ms
         self.proxy = Proxy((proxy_ip, SERVER_PORT), (ip, SERVER_PORT))
-        self.id, self.generation = "", 0
+        self.id, self.generation, self.sequence = "", 0, 0
 
     def start_anew(self):
         """Starts it under an id that was not used before."""
@@ -265,10 +265,11 @@
         self.name = name
 
     def entry(self, state):
+        self.sequence += 1
         return json.dumps({
             "address": f"{self.proxy.address[0]}:{SERVER_PORT}",
             "info": {"service": self.service, "version": "v1", "zone": "z1", "slots": 2},
-            "status": {"state": state, "sequence": 1, "coldRemainingS": 0}, "born": self.generation})
+            "status": {"state": state, "sequence": self.sequence, "coldRemainingS": 0}, "born": self.generation})
 
 
 class Instance(Process):
