Broker: Limit the attempts that are started on cold servers

A server that has just started crashes at a rate well above its limit (`coldPerS`), and load reports don't tell it. The leader now starts attempts on a cold server from a token bucket; a server without a token is no candidate, none of the slots and no server to wait for. Instances that decide without leading use no cold server, and new leaders or leaders of a part of the fleet use a part of the rate. Probes tell how long a server stays cold. Services without a limit are not affected.

--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -227,6 +227,14 @@
     /// failures.
     TimePoint unreachableUntil;
     unsigned connectFailures = 0;
+    /// ServerInfo::slowStartUntil as last passed to setServers(); learnCold() may have changed it
+    /// since.
+    TimePoint recordedSlowStart;
+    /// Attempts that may be started while the server is cold, as of the second value.
+    double coldStarts = 0;
+    TimePoint coldStartsUpdated;
+    /// True if this process of the server has answered a probe or an attempt.
+    bool hasAnswered = false;
 };
 
 struct RouteState
@@ -262,6 +270,14 @@
     unsigned slots = 0;
     unsigned taken = 0;
     std::size_t waiting = 0;
+    /// Cold servers that may get an attempt now. Each counts as one of the slots.
+    unsigned readyColdServers = 0;
+    /// Cold servers that may get none now; the slots don't include theirs.
+    unsigned delayedColdServers = 0;
+    /// Attempts per second that may be started on all cold servers.
+    double coldStartsPerSecond = 0;
+    /// Shortest time until one of the delayed servers may get an attempt.
+    Duration coldStartWait = Duration::max();
 };
 
 /// Placement of a request that is queued.
@@ -301,6 +317,11 @@
     /// Time since which this state has received the requests of all instances.
     TimePoint leadingSince;
     bool isLeading = false;
+    /// Part of the limit for cold servers that this state may use; less than 1 while it can't reach
+    /// the whole fleet, because other parts may have leaders too.
+    double coldStartShare = 1.0;
+    /// Requests that were queued or refused while a cold server was not allowed to get them.
+    std::uint64_t delayedColdStarts = 0;
     /// Servers and queued requests that all decisions so far have examined, with repetitions. In
     /// proportion to their processor time, but the same on every machine.
     std::uint64_t examinedEntries = 0;
@@ -329,6 +350,15 @@
 /// Records a load report of a backend server.
 void learnLoad(ServiceState &state, ServerKey server, const LoadReport &report, TimePoint now);
 
+/// Records for how long a server stays cold from now on, longer or shorter than known before; 0 if
+/// it is not cold. Holds until setServers() passes another process or another end of the slow
+/// start. Does nothing if the server has no limit for attempts while cold. Returns true if the
+/// server became cold or ceased to be.
+bool learnCold(ServiceState &state, ServerKey server, Duration remaining, TimePoint now);
+
+/// Returns the number of servers with a limit for cold starts that are cold.
+std::size_t coldServerCount(const ServiceState &state, TimePoint now);
+
 /// Records a probe without a usable answer.
 void recordProbeFailure(ServiceState &state, ServerKey server, TimePoint now);
 
--- a/packages/broker/src/dispatch.cpp
+++ b/packages/broker/src/dispatch.cpp
@@ -1,5 +1,6 @@
 #include "apricotrock/broker.h"
 
+#include "coldstart.h"
 #include "crashes.h"
 #include "estimate.h"
 #include "serverranking.h"
@@ -55,6 +56,8 @@
                TimePoint now)
 {
     ServerState &server = *choice.server;
+    if (isCold(server, now))
+        countColdStart(state, server, now);
     ActiveAttempt attempt;
     attempt.key = request.key;
     attempt.route = request.route;
@@ -92,6 +95,16 @@
     return decision;
 }
 
+/// Refuses a request because no server is left, except for cold ones that may not get it.
+Decision refuseWithoutServer(ServiceState &state, const AttemptRequest &request,
+                             const ServiceLoad &load)
+{
+    const bool hasColdServer = load.delayedColdServers > 0;
+    state.delayedColdStarts += hasColdServer ? 1 : 0;
+    return refuse(request, RefusalReason::NoServer,
+                  hasColdServer ? load.coldStartWait : maxRetryAfter, load);
+}
+
 /// Expected work of queued requests on servers that run as many attempts as their limit allows.
 /// Constructed once for each pass over the queue.
 class FullLoadWork
@@ -289,11 +302,15 @@
         removeExpiredAttempts(state, now);
         ranking.emplace(state, now);
     }
+    const double work = workSeconds(state, request.route, request.objective);
     const unsigned slots = state.lastLoad.slots;
     ServiceLoad load = state.lastLoad;
     load.waiting = state.queue.size();
-    if (slots == 0)
-        return refuse(request, RefusalReason::NoServer, maxRetryAfter, load);
+    const bool hasOnlyColdServers = slots == load.readyColdServers;
+    const bool canWait =
+        !hasOnlyColdServers || canWaitForColdServer(state, load, request, work, now);
+    if (slots == 0 && !canWait)
+        return refuseWithoutServer(state, request, load);
     if (!canMeetDeadline(state, request, now))
         return refuse(request, RefusalReason::DeadlineUnmeetable, minRetryAfter, load);
     const Duration pause = pauseOfAllServers(state, request, now);
@@ -306,7 +323,8 @@
         if (const auto decision = tryGrant(state, *ranking, request, now))
             return *decision;
     }
-    if (state.queue.size() >= maxQueuedPerSlot * slots)
+    state.delayedColdStarts += load.delayedColdServers > 0 ? 1 : 0;
+    if (!canWait || (!hasOnlyColdServers && state.queue.size() >= maxQueuedPerSlot * slots))
         return refuse(request, RefusalReason::QueueFull, queueDrainTime(state, slots), load);
     state.queue.push_back(request);
     state.placements[request.key] = queuedPlacement;
@@ -352,6 +370,11 @@
             refuseQueued(each, RefusalReason::DeadlineUnmeetable, timeToDrain / 2);
             continue;
         }
+        if (load.slots == 0 && load.delayedColdServers > 0 && !state.isLeading) {
+            state.placements.erase(each.key);
+            decisions.push_back(refuseWithoutServer(state, each, load));
+            continue;
+        }
         std::optional<Decision> decision;
         if (load.taken < load.slots)
             decision = tryGrant(state, ranking, each, now);
--- a/packages/broker/src/serverranking.cpp
+++ b/packages/broker/src/serverranking.cpp
@@ -1,5 +1,6 @@
 #include "serverranking.h"
 
+#include "coldstart.h"
 #include "estimate.h"
 
 #include <algorithm>
@@ -22,10 +23,12 @@
 /// Cost in seconds while there is no server; longer than any deadline.
 constexpr double noServerCost = 1e6;
 
-bool isExcluded(const ServiceState &state, const AttemptRequest &request, ServerKey key,
+bool isExcluded(const ServiceState &state, const AttemptRequest &request, const ServerState &server,
                 TimePoint now)
 {
-    return std::find(request.excluded.begin(), request.excluded.end(), key)
+    const ServerKey key = server.info.key;
+    return (request.isHedge && isCold(server, now))
+        || std::find(request.excluded.begin(), request.excluded.end(), key)
         != request.excluded.end()
         || remainingPause(state, request.key.instance, key, now) > Duration(0);
 }
@@ -52,6 +55,10 @@
     for (auto &[key, server] : state.servers) {
         if (!server.info.isUsable)
             continue;
+        if (isCold(server, now)) {
+            free += insertCold(server);
+            continue;
+        }
         m_load.slots += limitOf(server);
         if (isAvailable(server, now))
             free += insert(server);
@@ -97,6 +104,24 @@
     return m_limit;
 }
 
+unsigned ServerRanking::insertCold(ServerState &server)
+{
+    const Duration wait = coldStartWait(m_state, server, m_now);
+    if (isAvailable(server, m_now))
+        m_load.coldStartsPerSecond += coldStartRate(m_state, server, m_now);
+    if (wait > Duration(0)) {
+        ++m_load.delayedColdServers;
+        m_load.coldStartWait = std::min(m_load.coldStartWait, wait);
+        return 0;
+    }
+    if (!isAvailable(server, m_now) || insert(server) == 0)
+        return 0;
+    // Further attempts are delayed, however many slots of the server are free.
+    ++m_load.readyColdServers;
+    ++m_load.slots;
+    return 1;
+}
+
 unsigned ServerRanking::insert(ServerState &server)
 {
     const unsigned limit = limitOf(server);
@@ -107,7 +132,8 @@
         std::push_heap(heap.begin(), heap.end(), costlierFor<Entry>(1.0));
         return limit - taken;
     }
-    if (server.activeAttempts.empty())
+    // A request must not wait for a server that may not take it when its slot becomes free.
+    if (server.activeAttempts.empty() || isCold(server, m_now))
         return 0;
     TimePoint earliestEnd = TimePoint::max();
     for (const ActiveAttempt &each : server.activeAttempts)
@@ -130,7 +156,7 @@
         ++m_state.examinedEntries;
         const Entry &top = heap.front();
         const bool isOutdated = top.attempts != top.server->activeAttempts.size();
-        if (!isOutdated && !isExcluded(m_state, request, top.server->info.key, m_now)) {
+        if (!isOutdated && !isExcluded(m_state, request, *top.server, m_now)) {
             found = top;
             continue;
         }
@@ -175,7 +201,8 @@
 void ServerRanking::addAttempt(ServerState &server)
 {
     ++m_load.taken;
-    insert(server);
+    if (!isCold(server, m_now))
+        insert(server);
 }
 
 } // namespace apricotrock::broker
--- a/packages/broker/src/serverranking.h
+++ b/packages/broker/src/serverranking.h
@@ -56,6 +56,8 @@
     unsigned limitOf(const ServerState &server);
     /// Adds an entry for \a server and returns the number of its free slots.
     unsigned insert(ServerState &server);
+    /// The same for a cold server, which counts with one slot if it may get an attempt now.
+    unsigned insertCold(ServerState &server);
     Zone &zone(std::uint32_t key);
     /// Returns the entry with the lowest cost for \a work whose server \a request may use.
     std::optional<Entry> cheapest(std::vector<Entry> &heap, const AttemptRequest &request,
--- a/packages/broker/src/service.cpp
+++ b/packages/broker/src/service.cpp
@@ -1,5 +1,6 @@
 #include "apricotrock/broker.h"
 
+#include "coldstart.h"
 #include "crashes.h"
 #include "estimate.h"
 
@@ -16,6 +17,8 @@
 constexpr unsigned maxPauseDoublings = 4;
 /// Minimum interval between probes of a server that can't be reached.
 constexpr Duration unreachableProbeInterval = milliseconds(400);
+/// Interval of probes of a server with a limit for cold starts, even if attempts report its load.
+constexpr Duration coldProbeInterval = milliseconds(500);
 /// Time for which a server gets no attempts after it has rejected one because it is full.
 constexpr Duration rejectionPause = milliseconds(60);
 
@@ -61,7 +64,7 @@
         ServerState server;
         if (found != state.servers.end())
             server = std::move(found->second);
-        server.info = info;
+        updateInfo(server, info);
         next.emplace(info.key, std::move(server));
     }
     for (const auto &[key, server] : state.servers) {
@@ -97,6 +100,7 @@
     ServerState &server = found->second;
     server.report = report;
     server.reported = now;
+    server.hasAnswered = true;
     server.connectFailures = 0;
     server.unreachableUntil = {};
 }
@@ -201,7 +205,10 @@
     for (auto &[key, server] : state.servers) {
         if (!server.info.isUsable)
             continue;
-        const bool isFresh = server.report && now - server.reported < interval;
+        // Only probes tell that a server has become cold again, or is no longer.
+        const bool needsColdProbe =
+            server.info.coldStartsPerSecond > 0 && now - server.lastProbed >= coldProbeInterval;
+        const bool isFresh = server.report && now - server.reported < interval && !needsColdProbe;
         const Duration pause =
             server.connectFailures > 0 ? std::max(unreachableProbeInterval, interval) : interval;
         if (isFresh || now - server.lastProbed < pause)
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -123,6 +123,7 @@
         const fleet::CallerLimits &limits = context.routes.configuration()->limits;
         callers.setLimits(
             {limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout});
+        slotAllocator.updateServers();
         becomeReady();
     }
 
--- a/packages/gateway/src/prober.cpp
+++ b/packages/gateway/src/prober.cpp
@@ -1,5 +1,7 @@
 #include "prober.h"
 
+#include <charconv>
+
 namespace apricotrock::gateway {
 
 namespace {
@@ -11,6 +13,23 @@
 /// A probe that takes longer than this has no useful result.
 constexpr Duration probeTimeout = milliseconds(300);
 constexpr Duration pooledMaxIdle = seconds(4);
+/// Longest cold period that a server can report; guards against a value by mistake.
+constexpr double maxColdMs = 600'000;
+
+/// Parses the time in milliseconds for which a server stays cold; 0 if the header is missing.
+/// Returns nothing for other values than a number of at least 0.
+std::optional<Duration> parseColdRemaining(const std::optional<std::string_view> &header)
+{
+    if (!header)
+        return Duration(0);
+    double value = 0;
+    const char *end = header->data() + header->size();
+    const auto parsed = std::from_chars(header->data(), end, value, std::chars_format::fixed);
+    if (parsed.ec != std::errc() || parsed.ptr != end || !(value >= 0))
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(std::min(value, maxColdMs)));
+}
 
 } // namespace
 
@@ -70,6 +89,12 @@
                 return;
             if (saysLeaving(result.response, names))
                 m_context.serverLeaving({server.id, server.processStartMs}, true);
+            // Before the load, so that no queued request starts on a server that has become cold.
+            constexpr int okStatus = 200;
+            const auto cold = loop::findHeader(result.response.headers, names.coldRemainingMs);
+            if (const auto remaining = parseColdRemaining(cold);
+                remaining && result.response.status == okStatus)
+                m_slotAllocator.learnCold(service, key, *remaining);
             if (const auto load = header ? m_context.adapter.parseLoad(*header) : std::nullopt)
                 m_slotAllocator.learnLoad(service, key, *load);
         });
--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -24,6 +24,14 @@
 constexpr std::array<Duration, 2> crashReportRepetitions = {milliseconds(300), milliseconds(1000)};
 /// Bound of the reports about services that are not known yet.
 constexpr std::size_t maxEarlyCrashReports = 1000;
+/// Peers that were not heard for this long count as lost for cold servers: two heartbeat intervals
+/// and the scheduling delay of a small machine.
+constexpr Duration contactTimeout = milliseconds(1200);
+/// Lost peers count as part of the fleet for this long, because they may lead a part of it that
+/// is cut off. Must cover the longest separation that the limits have to hold for (12 s).
+constexpr Duration lostPeerRetention = milliseconds(15000);
+/// From this part of the fleet on, a leader uses the whole limits for cold servers.
+constexpr double fullFleetShare = 0.95;
 /// The servers of a service are not probed when nobody has requested a slot for this long.
 constexpr Duration idleProbeTime = milliseconds(5000);
 
@@ -139,7 +147,10 @@
                                              "Time spent on decisions about slots.")),
       m_examinedEntries(
           context.counter("slot_decision_examined_total",
-                          "Servers and queued requests examined by decisions about slots."))
+                          "Servers and queued requests examined by decisions about slots.")),
+      m_delayedColdStarts(context.counter("cold_starts_delayed_total",
+                                          "Slot requests that were queued or refused while a cold "
+                                          "server was not allowed to get them."))
 {
     context.metrics.gauge("apricotrock_slot_queue_length",
                           "Queued slot requests of the services that this instance leads.", {},
@@ -149,6 +160,13 @@
                                   queued += each.state.queue.size();
                               return static_cast<double>(queued);
                           });
+    context.metrics.gauge("apricotrock_cold_servers",
+                          "Servers with a limit for cold starts that are cold now.", {}, [this] {
+                              std::size_t cold = 0;
+                              for (const auto &[key, each] : m_services)
+                                  cold += broker::coldServerCount(each.state, Clock::now());
+                              return static_cast<double>(cold);
+                          });
 }
 
 class SlotAllocator::DecisionTimer
@@ -156,7 +174,7 @@
 public:
     DecisionTimer(SlotAllocator &allocator, ServiceSlots &service)
         : m_allocator(allocator), m_service(service), m_started(Clock::now()),
-          m_examined(service.state.examinedEntries)
+          m_examined(service.state.examinedEntries), m_delayed(service.state.delayedColdStarts)
     { }
     ~DecisionTimer()
     {
@@ -166,6 +184,7 @@
         m_allocator.m_decisionMicroseconds.add(
             static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(duration).count()));
         m_allocator.m_examinedEntries.add(m_service.state.examinedEntries - m_examined);
+        m_allocator.m_delayedColdStarts.add(m_service.state.delayedColdStarts - m_delayed);
     }
     DecisionTimer(const DecisionTimer &) = delete;
     DecisionTimer &operator=(const DecisionTimer &) = delete;
@@ -175,6 +194,7 @@
     ServiceSlots &m_service;
     TimePoint m_started;
     std::uint64_t m_examined;
+    std::uint64_t m_delayed;
 };
 
 void SlotAllocator::logLeaderLoad(Duration loopDelay)
@@ -230,13 +250,15 @@
 
 void SlotAllocator::updateServers(ServiceSlots &service)
 {
+    const fleet::ServiceSettings *settings = m_context.routes.service(service.name);
+    const double coldStarts = settings ? settings->coldStartsPerSecond : 0;
     std::vector<broker::ServerInfo> infos;
     for (const auto &[id, server] : m_context.servers.servers()) {
         if (!fleet::ServerDirectory::isUsable(server) || server.entry->service != service.name)
             continue;
         infos.push_back({serverKey(id), std::max(1U, server.entry->slots), true,
                          server.slowStartUntil, zoneKey(server.entry->availabilityZone),
-                         server.entry->processStartMs});
+                         server.entry->processStartMs, coldStarts});
     }
     broker::setServers(service.state, infos);
 }
@@ -258,6 +280,26 @@
     if (isLeading && !service.state.isLeading)
         service.state.leadingSince = now;
     service.state.isLeading = isLeading;
+    service.state.coldStartShare = m_coldStartShare;
+}
+
+double SlotAllocator::coldStartShare(TimePoint now) const
+{
+    double known = 1;
+    double reached = 1;
+    bool isHeard = false;
+    for (const auto &[ip, peer] : m_context.membership.peers()) {
+        const Duration silence = now - peer.lastHeard;
+        const bool hasStopped = peer.info.phase == fleet::InstancePhase::Stopped;
+        isHeard = isHeard || silence < contactTimeout;
+        known += !hasStopped && (peer.isAlive || silence < lostPeerRetention) ? 1 : 0;
+        reached += peer.isAlive ? 1 : 0;
+    }
+    // The time-outs of the membership are longer than the bound for cold servers allows.
+    if (known > 1 && !isHeard)
+        reached = 1;
+    const double share = reached / known;
+    return share >= fullFleetShare ? 1.0 : share;
 }
 
 void SlotAllocator::updateServers()
@@ -284,6 +326,7 @@
 void SlotAllocator::updateLeaders()
 {
     const TimePoint now = Clock::now();
+    m_coldStartShare = coldStartShare(now);
     for (auto &[key, each] : m_services)
         updateLeader(each, now);
 }
@@ -435,6 +478,21 @@
     processQueue(each);
 }
 
+void SlotAllocator::learnCold(const std::string &service, broker::ServerKey server,
+                              Duration remaining)
+{
+    ServiceSlots &each = serviceSlots(service);
+    if (!broker::learnCold(each.state, server, remaining, Clock::now()))
+        return;
+    const fleet::KnownServer *known = findServer(server);
+    m_context.log.write(EventLog::Level::Info, "server_cold_changed", [&](LogLine &line) {
+        line.text("service", service)
+            .text("server", known ? known->record.id : std::string())
+            .milliseconds("remaining", remaining);
+    });
+    processQueue(each);
+}
+
 void SlotAllocator::recordProbeFailure(const std::string &service, broker::ServerKey server)
 {
     ServiceSlots &each = serviceSlots(service);
--- a/packages/gateway/src/slotallocator.h
+++ b/packages/gateway/src/slotallocator.h
@@ -54,13 +54,16 @@
     /// Records the load report that a probe returned.
     void learnLoad(const std::string &service, broker::ServerKey server,
                    const broker::LoadReport &load);
+    /// Records for how long a server stays cold according to a probe; 0 if it is not cold.
+    void learnCold(const std::string &service, broker::ServerKey server, Duration remaining);
     void recordProbeFailure(const std::string &service, broker::ServerKey server);
 
     /// Returns the number of requests without a decision.
     [[nodiscard]] std::size_t pendingRequests() const { return m_pendingRequests.size(); }
 
-    /// Called when the set of backend servers or of instances has changed.
+    /// Called when the set of backend servers or their settings have changed.
     void updateServers();
+    /// Called when the set of instances may have changed, and from time to time.
     void updateLeaders();
 
     /// Returns a backend server by its key, or nullptr.
@@ -96,7 +99,7 @@
         std::uint64_t examinedBefore = 0;
         Duration decisionTime{};
     };
-    /// Adds the time of its scope to the decision time of a service.
+    /// Adds the cost of the decisions in its scope to the metrics of a service.
     class DecisionTimer;
     struct ServiceSlots
     {
@@ -123,6 +126,9 @@
     ServiceSlots *findServiceSlots(std::uint64_t key);
     void updateServers(ServiceSlots &service);
     void updateLeader(ServiceSlots &service, TimePoint now);
+    /// Returns the part of the limits for cold servers that a leader with the contacts of this
+    /// instance may use.
+    [[nodiscard]] double coldStartShare(TimePoint now) const;
     /// Tells the other instances of new crashes in a service that this instance leads.
     void shareCrashes(ServiceSlots &service);
     /// Tells them again, in case a datagram was lost.
@@ -153,6 +159,7 @@
     /// IP addresses of instances by instanceKey().
     std::unordered_map<std::uint64_t, std::string> m_instanceIps;
     std::uint64_t m_nextTicket;
+    double m_coldStartShare = 1.0;
     metrics::Counter &m_localRequests;
     metrics::Counter &m_remoteRequests;
     metrics::Counter &m_fallbackRequests;
@@ -161,6 +168,7 @@
     metrics::Counter &m_receivedReleases;
     metrics::Counter &m_decisionMicroseconds;
     metrics::Counter &m_examinedEntries;
+    metrics::Counter &m_delayedColdStarts;
 };
 
 } // namespace apricotrock::gateway
