Fleet: Find organisations by API key

Cause: the organisations of a configuration are decoded, but nothing finds one by its key, and an ambiguous key or a negative quota would be accepted. Change: OrganisationTable, which RouteTable builds with each configuration. validate() rejects organisations that share a name or a key, have an empty name or key, a negative rate or burst, or control characters in the name, which is sent as a header. Messages name the organisation and never a key.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -97,6 +97,24 @@
     CallerLimits limits;
 };
 
+/// Finds organisations by API key.
+class OrganisationTable
+{
+public:
+    OrganisationTable() = default;
+    explicit OrganisationTable(std::shared_ptr<const Configuration> configuration);
+
+    /// Returns the organisation that holds \a key, compared exactly, or nullptr.
+    [[nodiscard]] const Organisation *find(std::string_view key) const;
+    /// True if the configuration has no organisations, so that callers need no API key.
+    [[nodiscard]] bool isEmpty() const;
+
+private:
+    std::shared_ptr<const Configuration> m_configuration;
+    /// Refers to texts of the configuration.
+    std::unordered_map<std::string_view, const Organisation *> m_byKey;
+};
+
 /// Finds routes by host and longest path prefix.
 class RouteTable
 {
@@ -109,17 +127,21 @@
     [[nodiscard]] const Route *find(std::string_view host, std::string_view path) const;
     [[nodiscard]] const ServiceSettings *service(std::string_view name) const;
     [[nodiscard]] const Configuration *configuration() const { return m_configuration.get(); }
+    /// Returns the organisations of the same configuration.
+    [[nodiscard]] const OrganisationTable &organisations() const { return m_organisations; }
 
 private:
     std::shared_ptr<const Configuration> m_configuration;
     std::unordered_map<std::string, std::vector<const Route *>> m_byHost;
+    OrganisationTable m_organisations;
 };
 
 /// Chooses a destination in proportion to the weights. \a random is uniform in [0, 1).
 const Destination &chooseDestination(const Route &route, double random);
 
 /// Checks \a configuration and returns a message for every problem, not only for the first one.
-/// Each message names the route and the field and tells how to correct it.
+/// Each message names the route or organisation and the field, and tells how to correct it. No
+/// message contains an API key.
 std::vector<std::string> validate(const Configuration &configuration);
 
 // Backend servers
--- a/packages/fleet/src/routetable.cpp
+++ b/packages/fleet/src/routetable.cpp
@@ -1,12 +1,14 @@
 #include "apricotrock/fleet.h"
 
+#include "organisationvalidation.h"
+
 #include <algorithm>
 #include <set>
 
 namespace apricotrock::fleet {
 
 RouteTable::RouteTable(std::shared_ptr<const Configuration> configuration)
-    : m_configuration(std::move(configuration))
+    : m_configuration(std::move(configuration)), m_organisations(m_configuration)
 {
     for (const Route &route : m_configuration->routes)
         m_byHost[route.host].push_back(&route);
@@ -82,6 +84,8 @@
                                    + "' must not be negative");
         }
     }
+    for (std::string &problem : validateOrganisations(configuration.organisations))
+        problems.push_back(std::move(problem));
     return problems;
 }
 
