Gateway: Check the API keys of callers

Cause: callers of an organisation authenticate with keys; nothing checked them, and the headers of keys and organisations passed through to backend servers. Change: authentication.h decides about keys, the terms of organisations and the refusals. RequestPath uses it for each request, Call again when a slot is granted. Both headers are removed and the organisation's is set. An instance whose configuration was not confirmed within the bound answers 503 in place of 401 and 404. All of it applies only if the configuration has organisations.

--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -28,6 +28,8 @@
 /// Maximum number of granted slots that one call does not use because their servers have paused
 /// this instance. Only a new leader grants such slots.
 constexpr unsigned maxPausedGrants = 20;
+/// Retry-After of a request whose key may be held by a newer configuration.
+constexpr Duration unconfirmedRetryAfter = milliseconds(300);
 /// No attempt is started with less time than this before the deadline.
 constexpr Duration minAttemptTime = milliseconds(10);
 
@@ -231,9 +233,43 @@
             retryOrFail(isKnown ? "server_of_other_service" : "server_left");
         return;
     }
+    if (!checkKeyAgain()) {
+        endAttempt(index, broker::AttemptOutcome::Cancelled, std::nullopt);
+        if (!isHedge && !hasRunningAttempt())
+            failWithoutKey();
+        return;
+    }
     send(index);
 }
 
+bool Call::checkKeyAgain()
+{
+    const fleet::OrganisationTable &organisations = m_path.m_context.routes.organisations();
+    // A request that was admitted without a key was sent before the configuration asked for one.
+    if (m_plan.organisation.empty() || organisations.isEmpty())
+        return true;
+    const Authentication authentication =
+        m_path.authenticateRequest(m_exchange->request(), m_plan.isPublic);
+    // The organisation is kept, so that a later attempt is refused too.
+    if (authentication.isRefused())
+        return false;
+    // A newer configuration may have moved the key to another organisation.
+    m_plan.organisation = authentication.organisation ? authentication.organisation->name : "";
+    return true;
+}
+
+void Call::failWithoutKey()
+{
+    if (respondWithServerFailure())
+        return;
+    const bool isOverdue = m_path.m_context.isConfigurationOverdue(Clock::now());
+    const ConfigurationRefusal refusal = refusalOfUnknownKey(isOverdue);
+    if (m_mayHaveRun)
+        fail(502, refusal.reason, {});
+    else
+        fail(refusal.status, refusal.reason, unconfirmedRetryAfter);
+}
+
 void Call::handleSlotRefused(bool isHedge, const SlotDecision &decision)
 {
     const broker::Decision &slot = decision.decision;
@@ -270,20 +306,28 @@
 {
     const HeaderNames &names = m_path.m_context.adapter.headers;
     const loop::Headers &received = m_exchange->request().headers;
+    // Also if the organisations have been removed from the configuration since the request came.
+    const bool hidesKeys = m_plan.hidesKeys || !m_path.m_context.routes.organisations().isEmpty();
     loop::Headers headers;
-    headers.reserve(received.size() + 2);
+    headers.reserve(received.size() + 3);
     for (const auto &[name, value] : received) {
         if (loop::isHopByHop(received, name) || loop::equalsIgnoringCase(name, "content-length")
             || loop::equalsIgnoringCase(name, "expect")
             || loop::equalsIgnoringCase(name, names.deadlineMs)
             || loop::equalsIgnoringCase(name, names.expectedServer))
             continue;
+        if (hidesKeys
+            && (loop::equalsIgnoringCase(name, names.apiKey)
+                || loop::equalsIgnoringCase(name, names.organisation)))
+            continue;
         headers.push_back({name, value});
     }
     const auto remaining =
         std::chrono::duration_cast<milliseconds>(m_plan.deadline - Clock::now()).count();
     headers.push_back({names.deadlineMs, std::to_string(std::max<std::int64_t>(remaining, 1))});
     headers.push_back({names.expectedServer, attempt.server.id});
+    if (!m_plan.organisation.empty())
+        headers.push_back({names.organisation, m_plan.organisation});
     return headers;
 }
 
--- a/packages/gateway/src/call.h
+++ b/packages/gateway/src/call.h
@@ -24,6 +24,10 @@
         bool isIdempotent = false;
         unsigned priority = 0;
         unsigned maxAttempts = 1;
+        /// True if the route needs no API key.
+        bool isPublic = false;
+        /// True if the headers of API keys and organisations are not passed on as received.
+        bool hidesKeys = false;
         /// Organisation of the caller; empty if there is none.
         std::string organisation;
         /// Weight of the organisation among those that share the service; 0 without one.
@@ -58,6 +62,11 @@
     void handleSlotDecision(bool isHedge, const SlotDecision &decision);
     void handleSlotGranted(bool isHedge, const SlotDecision &decision);
     void handleSlotRefused(bool isHedge, const SlotDecision &decision);
+    /// Checks the API key again with the configuration in force, which may be newer than the one
+    /// that admitted the request. Returns false if it no longer holds the key.
+    bool checkKeyAgain();
+    /// Ends the call, of which nothing was sent since the key was removed.
+    void failWithoutKey();
     void send(std::size_t index);
     void handleAttemptResult(std::size_t index, loop::ClientResult result);
     void endAttempt(std::size_t index, broker::AttemptOutcome outcome,
--- a/packages/gateway/src/context.h
+++ b/packages/gateway/src/context.h
@@ -2,6 +2,8 @@
 
 #include "apricotrock/gateway.h"
 
+#include "authentication.h"
+
 namespace apricotrock::gateway {
 
 using loop::EventLog;
@@ -24,12 +26,22 @@
     /// Called when a backend server says in a response, to this instance or to one that was granted
     /// its slot, that it leaves. If the second argument is true, the other instances are told.
     std::function<void(const fleet::LeavingServer &, bool)> serverLeaving;
+    /// When the configuration in force was last known to be the newest one: by a read of the store
+    /// or by the message of an instance that reads it.
+    TimePoint configurationConfirmedAt{};
 
     metrics::Counter &counter(const std::string &name, const std::string &help,
                               const metrics::Labels &labels = {})
     {
         return metrics.counter("apricotrock_" + name, help, labels);
     }
+    /// True if the configuration has organisations and a newer one may have been published for
+    /// longer than the bound.
+    [[nodiscard]] bool isConfigurationOverdue(TimePoint now) const
+    {
+        return !routes.organisations().isEmpty()
+            && isConfirmationOverdue(configurationConfirmedAt, settings.configurationBound, now);
+    }
 };
 
 /// True if the response of a backend server says that the server leaves.
--- a/packages/gateway/src/requestpath.cpp
+++ b/packages/gateway/src/requestpath.cpp
@@ -124,6 +124,13 @@
     return route && route->isIdempotent;
 }
 
+Authentication RequestPath::authenticateRequest(const loop::HttpRequest &request,
+                                                bool isPublicRoute) const
+{
+    return authenticate(request.headers, m_context.adapter.headers.apiKey, isPublicRoute,
+                        m_context.routes.organisations());
+}
+
 void RequestPath::handle(const std::shared_ptr<loop::HttpExchange> &exchange)
 {
     const loop::HttpRequest &request = exchange->request();
@@ -145,7 +152,12 @@
     }
     const fleet::Route *route = findRoute(request);
     if (!route) {
-        refuse(exchange, 404, "route_unknown", "no route matches host and path");
+        refuse(exchange, refusalOfUnknownRoute(m_context.isConfigurationOverdue(Clock::now())));
+        return;
+    }
+    const Authentication authentication = authenticateRequest(request, route->isPublic);
+    if (authentication.isRefused()) {
+        refuse(exchange, refusalOfUnknownKey(m_context.isConfigurationOverdue(Clock::now())));
         return;
     }
     const TimePoint now = exchange->requestReceivedAt();
@@ -156,7 +168,13 @@
     plan.routeName = route->name;
     plan.configurationVersion = configuration->version;
     plan.isIdempotent = route->isIdempotent;
-    plan.priority = route->priority;
+    plan.isPublic = route->isPublic;
+    plan.hidesKeys = !m_context.routes.organisations().isEmpty();
+    OrganisationTerms terms = termsFor(authentication.organisation, *route);
+    plan.organisation = std::move(terms.name);
+    plan.priority = terms.priority;
+    plan.weight = terms.weight;
+    plan.needsToken = terms.needsToken;
     plan.maxAttempts = route->maxAttempts;
     plan.objective = route->objective;
     plan.arrived = now;
--- a/packages/gateway/src/requestpath.h
+++ b/packages/gateway/src/requestpath.h
@@ -37,6 +37,14 @@
     [[nodiscard]] const fleet::Route *findRoute(const loop::HttpRequest &request) const;
     void refuse(const std::shared_ptr<loop::HttpExchange> &exchange, int status,
                 std::string_view reason, std::string_view text);
+    void refuse(const std::shared_ptr<loop::HttpExchange> &exchange,
+                const ConfigurationRefusal &refusal)
+    {
+        refuse(exchange, refusal.status, refusal.reason, refusal.text);
+    }
+    /// Checks the key of \a request with the configuration in force.
+    [[nodiscard]] Authentication authenticateRequest(const loop::HttpRequest &request,
+                                                     bool isPublicRoute) const;
     void countAnswer(int status, std::string_view reason);
     void countHedgeRefusal(std::string_view reason);
     void countInvalidResponse(std::string_view reason);
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -190,6 +190,10 @@
     }
     const fleet::Configuration *configuration = m_context.routes.configuration();
     const std::uint64_t version = configuration ? configuration->version : 0;
+    const TimePoint now = Clock::now();
+    const bool isCurrent = now - m_ticked <= stallLimit && now >= m_peersConfirmFrom;
+    if (isCurrent && tables.is_reader() && tables.configuration_version() == version)
+        confirmConfiguration(now - milliseconds(tables.read_age_ms()));
     if (tables.configuration_version() > version)
         fetchConfiguration(ip, tables.configuration_version());
 }
--- a/packages/gateway/src/tablesync.cpp
+++ b/packages/gateway/src/tablesync.cpp
@@ -59,6 +59,12 @@
 constexpr Duration storeTimeout = milliseconds(400);
 constexpr Duration fetchInterval = milliseconds(250);
 
+/// The reader confirms its configuration in this time: two long polls, the first of which returned
+/// a version. Above it, it counts as one that has not read the store.
+constexpr Duration maxReaderConfirmationAge = 2 * configurationLongPollTimeout;
+/// Time after a pause of the event loop in which the messages that arrived meanwhile are handled.
+constexpr Duration stallRecoveryTime = milliseconds(100);
+
 } // namespace
 
 TableSync::TableSync(Context &context, PeerChannel &peers, Handlers handlers)
@@ -72,6 +78,9 @@
     });
     m_context.metrics.gauge("apricotrock_server_position", "Position in the server records.", {},
                             [this] { return static_cast<double>(m_context.servers.position()); });
+    m_context.metrics.gauge("apricotrock_configuration_overdue",
+                            "1 while a newer configuration may be in force elsewhere.", {},
+                            [this] { return m_wasOverdue ? 1.0 : 0.0; });
 }
 
 Result<void> TableSync::start()
@@ -102,7 +111,14 @@
 wire::TableState TableSync::state() const
 {
     const fleet::Configuration *configuration = m_context.routes.configuration();
-    const auto age = std::chrono::duration_cast<milliseconds>(Clock::now() - m_lastSuccessfulRead);
+    const TimePoint now = Clock::now();
+    // A reader that can read only the servers confirms no configuration to the others.
+    const bool confirms = m_context.routes.organisations().isEmpty()
+        || now - m_context.configurationConfirmedAt < maxReaderConfirmationAge;
+    const TimePoint readAt = confirms
+        ? m_lastSuccessfulRead
+        : std::min(m_lastSuccessfulRead, m_context.configurationConfirmedAt);
+    const auto age = std::chrono::duration_cast<milliseconds>(now - readAt);
     return {configuration ? configuration->version : 0,
             m_context.servers.position(),
             m_lastChange,
@@ -181,6 +197,10 @@
 void TableSync::tick()
 {
     const TimePoint now = Clock::now();
+    if (now - m_ticked > stallLimit)
+        m_peersConfirmFrom = now + stallRecoveryTime;
+    m_ticked = now;
+    logConfirmation(now);
     const auto expired = m_context.servers.expire(now);
     if (!expired.empty()) {
         logChanges(expired, "grace_after_outage");
@@ -231,6 +251,25 @@
     }
 }
 
+void TableSync::confirmConfiguration(TimePoint time)
+{
+    m_context.configurationConfirmedAt = std::max(m_context.configurationConfirmedAt, time);
+}
+
+void TableSync::logConfirmation(TimePoint now)
+{
+    const bool isOverdue = m_context.isConfigurationOverdue(now);
+    if (isOverdue == std::exchange(m_wasOverdue, isOverdue))
+        return;
+    m_context.log.write(
+        isOverdue ? EventLog::Level::Warning : EventLog::Level::Info,
+        isOverdue ? "configuration_overdue" : "configuration_confirmed", [&](LogLine &line) {
+            line.number("version",
+                        static_cast<std::int64_t>(m_context.routes.configuration()->version))
+                .milliseconds("age", now - m_context.configurationConfirmedAt);
+        });
+}
+
 void TableSync::handleStoreSuccess()
 {
     m_context.membership.setCanReadStore(true);
@@ -392,9 +431,10 @@
         return;
     }
     m_isWatching = true;
+    const TimePoint started = Clock::now();
     m_context.adapter.store->readFrom(
         Topic::Configuration, m_configurationPosition, configurationLongPollTimeout,
-        [this](Result<StoredRecords> result) {
+        [this, started](Result<StoredRecords> result) {
             m_configurationRead = Clock::now();
             if (!result) {
                 handleStoreFailure("watch_configuration", result.error());
@@ -410,6 +450,8 @@
             }
             m_configurationPosition = std::max(m_configurationPosition, result->end);
             applyConfigurationRecords(result->records);
+            confirmConfiguration(earliestAnswer(started, configurationLongPollTimeout,
+                                                !result->records.empty(), Clock::now()));
         });
 }
 
@@ -418,18 +460,21 @@
     if (m_isReadingConfiguration)
         return;
     m_isReadingConfiguration = true;
-    m_configurationRead = Clock::now();
-    m_context.adapter.store->readNewest(Topic::Configuration, [this](Result<StoredRecords> result) {
-        m_isReadingConfiguration = false;
-        if (!result) {
-            handleStoreFailure("read_configuration", result.error());
-            return;
-        }
-        handleStoreSuccess();
-        m_configurationPosition = std::max(m_configurationPosition, result->end);
-        m_hasConfigurationPosition = true;
-        applyConfigurationRecords(result->records);
-    });
+    const TimePoint started = Clock::now();
+    m_configurationRead = started;
+    m_context.adapter.store->readNewest(
+        Topic::Configuration, [this, started](Result<StoredRecords> result) {
+            m_isReadingConfiguration = false;
+            if (!result) {
+                handleStoreFailure("read_configuration", result.error());
+                return;
+            }
+            handleStoreSuccess();
+            m_configurationPosition = std::max(m_configurationPosition, result->end);
+            m_hasConfigurationPosition = true;
+            applyConfigurationRecords(result->records);
+            confirmConfiguration(started);
+        });
 }
 
 void TableSync::applyConfigurationRecords(const std::vector<StoredRecord> &records)
--- a/packages/gateway/src/tablesync.h
+++ b/packages/gateway/src/tablesync.h
@@ -10,6 +10,10 @@
 /// changes. Changes must reach all instances within two seconds, even if the reader changes.
 inline constexpr Duration serverLongPollTimeout = std::chrono::milliseconds(800);
 
+/// Messages that arrived while the event loop stood still for longer than this may be as old as the
+/// pause. They confirm no configuration.
+inline constexpr Duration stallLimit = std::chrono::milliseconds(400);
+
 /// Keeps the configuration and the backend servers up to date with few calls to the store.
 ///
 /// One instance, the reader, reads the store and distributes changes to the others. An instance
@@ -71,6 +75,10 @@
     void handleStoreSuccess();
     /// Records a successful read of the backend servers at \a readAt.
     void recordServerRead(TimePoint readAt);
+    /// Records that the configuration in force was the newest one at \a time.
+    void confirmConfiguration(TimePoint time);
+    /// Writes to the log when the configuration becomes overdue or is confirmed again.
+    void logConfirmation(TimePoint now);
     void handleStoreFailure(std::string_view operation, const Error &error);
     void applyServers(const std::vector<StoredRecord> &records, std::uint64_t from,
                       std::uint64_t end, bool isSnapshot, std::string_view source);
@@ -139,6 +147,11 @@
     bool m_isCatchUpScheduled = false;
     bool m_isStoreFailing = false;
     bool m_wasReading = false;
+    bool m_wasOverdue = false;
+    /// Last run of tick().
+    TimePoint m_ticked;
+    /// Messages of other instances confirm the configuration from then on.
+    TimePoint m_peersConfirmFrom;
 };
 
 } // namespace apricotrock::gateway
