--- a/packages/gateway/src/tablesync.cpp
+++ b/packages/gateway/src/tablesync.cpp
@@ -67,6 +67,12 @@
 constexpr unsigned obsoleteReports = 3;
 constexpr Duration obsoleteReportInterval = milliseconds(400);
 
+/// The reader confirms its configuration in this time: two long polls, the first of which returned
+/// a version. Above it, it counts as one that has not read the store.
+constexpr Duration maxReaderConfirmationAge = 2 * configurationLongPollTimeout;
+/// Time after a pause of the event loop in which the messages that arrived meanwhile are handled.
+constexpr Duration stallRecoveryTime = milliseconds(100);
+
 } // namespace
 
 TableSync::TableSync(Context &context, PeerChannel &peers, Handlers handlers)
@@ -83,6 +89,9 @@
         [this] { return static_cast<double>(m_context.servers.position().offset); });
     m_context.metrics.gauge("apricotrock_store_era", "Highest era of the store that was reported.",
                             {}, [this] { return static_cast<double>(m_storeEra); });
+    m_context.metrics.gauge("apricotrock_configuration_overdue",
+                            "1 while a newer configuration may be in force elsewhere.", {},
+                            [this] { return m_wasOverdue ? 1.0 : 0.0; });
 }
 
 Result<void> TableSync::start()
@@ -113,7 +122,14 @@
 wire::TableState TableSync::state() const
 {
     const fleet::Configuration *configuration = m_context.routes.configuration();
-    const auto age = std::chrono::duration_cast<milliseconds>(Clock::now() - m_lastSuccessfulRead);
+    const TimePoint now = Clock::now();
+    // A reader that can read only the servers confirms no configuration to the others.
+    const bool confirms = m_context.routes.organisations().isEmpty()
+        || now - m_context.configurationConfirmedAt < maxReaderConfirmationAge;
+    const TimePoint readAt = confirms
+        ? m_lastSuccessfulRead
+        : std::min(m_lastSuccessfulRead, m_context.configurationConfirmedAt);
+    const auto age = std::chrono::duration_cast<milliseconds>(now - readAt);
     const fleet::StorePosition position = m_context.servers.position();
     return {configuration ? configuration->version : 0,
             position.offset,
@@ -197,6 +213,10 @@
 void TableSync::tick()
 {
     const TimePoint now = Clock::now();
+    if (now - m_ticked > stallLimit)
+        m_peersConfirmFrom = now + stallRecoveryTime;
+    m_ticked = now;
+    logConfirmation(now);
     const auto expired = m_context.servers.expire(now);
     if (!expired.empty()) {
         logChanges(expired, "grace_after_outage");
@@ -317,6 +337,25 @@
     m_context.timers.callAfter(obsoleteReportInterval, [this] { reportObsoleteServers(); });
 }
 
+void TableSync::confirmConfiguration(TimePoint time)
+{
+    m_context.configurationConfirmedAt = std::max(m_context.configurationConfirmedAt, time);
+}
+
+void TableSync::logConfirmation(TimePoint now)
+{
+    const bool isOverdue = m_context.isConfigurationOverdue(now);
+    if (isOverdue == std::exchange(m_wasOverdue, isOverdue))
+        return;
+    m_context.log.write(
+        isOverdue ? EventLog::Level::Warning : EventLog::Level::Info,
+        isOverdue ? "configuration_overdue" : "configuration_confirmed", [&](LogLine &line) {
+            line.number("version",
+                        static_cast<std::int64_t>(m_context.routes.configuration()->version))
+                .milliseconds("age", now - m_context.configurationConfirmedAt);
+        });
+}
+
 void TableSync::handleStoreSuccess()
 {
     m_context.membership.setCanReadStore(true);
@@ -502,10 +541,11 @@
         return;
     }
     m_isWatching = true;
+    const TimePoint started = Clock::now();
     const fleet::StorePosition from = m_configurationPosition;
     m_context.adapter.store->readFrom(
         Topic::Configuration, from, configurationLongPollTimeout,
-        [this, from](Result<StoredRecords> result) {
+        [this, started, from](Result<StoredRecords> result) {
             m_configurationRead = Clock::now();
             if (!result) {
                 handleStoreFailure("watch_configuration", result.error());
@@ -523,6 +563,8 @@
             }
             m_configurationPosition = std::max(m_configurationPosition, result->end);
             applyConfigurationRecords(result->records);
+            confirmConfiguration(earliestAnswer(started, configurationLongPollTimeout,
+                                                !result->records.empty(), Clock::now()));
         });
 }
 
@@ -531,21 +573,24 @@
     if (m_isReadingConfiguration)
         return;
     m_isReadingConfiguration = true;
-    m_configurationRead = Clock::now();
-    m_context.adapter.store->readNewest(Topic::Configuration, [this](Result<StoredRecords> result) {
-        m_isReadingConfiguration = false;
-        if (!result) {
-            handleStoreFailure("read_configuration", result.error());
-            return;
-        }
-        handleStoreSuccess();
-        if (!acceptsEra(result->end.era))
-            return;
-        // Not the higher of both: it may not exist after a restore of the store.
-        m_configurationPosition = result->end;
-        m_hasConfigurationPosition = true;
-        applyConfigurationRecords(result->records);
-    });
+    const TimePoint started = Clock::now();
+    m_configurationRead = started;
+    m_context.adapter.store->readNewest(
+        Topic::Configuration, [this, started](Result<StoredRecords> result) {
+            m_isReadingConfiguration = false;
+            if (!result) {
+                handleStoreFailure("read_configuration", result.error());
+                return;
+            }
+            handleStoreSuccess();
+            if (!acceptsEra(result->end.era))
+                return;
+            // Not the higher of both: it may not exist after a restore of the store.
+            m_configurationPosition = result->end;
+            m_hasConfigurationPosition = true;
+            applyConfigurationRecords(result->records);
+            confirmConfiguration(started);
+        });
 }
 
 void TableSync::applyConfigurationRecords(const std::vector<StoredRecord> &records)
