Fleet: Send nothing to the servers of evacuated availability zones

Operators order the evacuation of a zone with the key evacuate/ZONE in the topic of the configuration. The adapter of the platform discarded the key.

fleet::Evacuations holds the newest record of each zone by its position in the store. TableSync reads the records, every message that carries the state of the tables repeats them, and instances merge those of their peers. Servers of an evacuated zone are no candidates for slots and probes, a slot that a leader without the order grants there is not used, and idle connections to them are closed. After a withdrawal the servers of the zone count as slow for the cold time of their service. An order that is missing from a complete read was withdrawn; one that is missing because the store was restored from a backup stays in force for 10 s.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -232,6 +232,77 @@
     std::optional<TimePoint> m_outageEnded;
 };
 
+// Evacuations
+
+/// The newest record about the evacuation of an availability zone.
+struct EvacuationOrder
+{
+    std::string availabilityZone;
+    StorePosition position;
+    /// False if the order was withdrawn.
+    bool isActive = false;
+};
+
+/// The orders to send no requests to the backend servers of availability zones.
+///
+/// The newest record of each zone by its position in the store counts, whatever the order of
+/// arrival.
+class Evacuations
+{
+public:
+    struct Change
+    {
+        std::string availabilityZone;
+        bool isEvacuated = false;
+        StorePosition position;
+    };
+    /// Bounds of the memory and of the messages that repeat the orders.
+    static constexpr std::size_t maxOrders = 32;
+    static constexpr std::size_t maxZoneBytes = 128;
+    /// An order that is missing after the store was restored from a backup stays in force for this
+    /// long, in which it can be written again.
+    static constexpr Duration restoreGrace = std::chrono::seconds(10);
+
+    /// Merges \a orders and returns the zones that are evacuated or no longer evacuated since.
+    std::vector<Change> merge(const std::vector<EvacuationOrder> &orders, TimePoint now);
+    /// Merges the complete set of records as of the position \a end. A known order that is missing
+    /// from it was withdrawn before \a end if it is of the same era. One of an earlier era stays in
+    /// force for restoreGrace from the first such read.
+    std::vector<Change> mergeSnapshot(const std::vector<EvacuationOrder> &orders,
+                                      const StorePosition &end, TimePoint now);
+    /// Withdraws the orders whose grace has ended.
+    std::vector<Change> expire(TimePoint now);
+
+    [[nodiscard]] bool isEvacuated(std::string_view availabilityZone, TimePoint now) const;
+    /// Returns the time at which this instance learned of the last withdrawal for a zone, or
+    /// nothing if it knows of none or the zone is evacuated again.
+    [[nodiscard]] std::optional<TimePoint> restoredAt(std::string_view availabilityZone) const;
+    [[nodiscard]] std::size_t evacuatedCount(TimePoint now) const;
+    /// Returns the newest records, withdrawals included, for other instances.
+    [[nodiscard]] std::vector<EvacuationOrder> orders() const;
+    /// Number of records that were ignored because of the bounds.
+    [[nodiscard]] std::uint64_t ignoredRecords() const { return m_ignoredRecords; }
+
+private:
+    struct Known
+    {
+        StorePosition position;
+        bool isActive = false;
+        std::optional<TimePoint> restored;
+        /// The order is missing from a later era and is withdrawn at this time, by a record at
+        /// missingFrom.
+        std::optional<TimePoint> graceUntil;
+        StorePosition missingFrom;
+    };
+
+    std::optional<Change> mergeOrder(const EvacuationOrder &order, TimePoint now);
+    /// Makes room for another zone. Returns false if all known orders are in force.
+    bool makeRoom();
+
+    std::map<std::string, Known, std::less<>> m_orders;
+    std::uint64_t m_ignoredRecords = 0;
+};
+
 // Instances
 
 enum class InstancePhase : std::uint8_t { Starting, Ready, Leaving, Stopped };
--- a/packages/gateway/include/apricotrock/gateway.h
+++ b/packages/gateway/include/apricotrock/gateway.h
@@ -99,6 +99,9 @@
     std::function<std::optional<fleet::ServerEntry>(const std::string &id, std::string_view value)>
         decodeServer;
     std::function<Result<fleet::Configuration>(std::string_view value)> decodeConfiguration;
+    /// Returns the availability zone that a record of the topic of the configuration orders to
+    /// evacuate, by the key of the record, or nothing for other keys. May be empty.
+    std::function<std::optional<std::string>(std::string_view key)> evacuatedZone;
 };
 
 struct GatewaySettings
--- a/packages/gateway/src/backendpool.cpp
+++ b/packages/gateway/src/backendpool.cpp
@@ -77,7 +77,7 @@
     if (!connection->isReusable())
         return;
     Idle &idle = m_idle[poolKey(server)];
-    if (idle.size() >= maxIdlePerServer) {
+    if (idle.size() >= maxIdlePerServer || isEvacuated(m_context, server, Clock::now())) {
         connection->close();
         return;
     }
--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -26,7 +26,8 @@
 /// without running.
 constexpr unsigned maxSlotRequests = 6;
 /// Maximum number of granted slots that one call does not use because their servers have paused
-/// this instance. Only a new leader grants such slots.
+/// this instance or are in an evacuated zone. Only a leader that does not know it yet grants such
+/// slots.
 constexpr unsigned maxPausedGrants = 20;
 /// No attempt is started with less time than this before the deadline.
 constexpr Duration minAttemptTime = milliseconds(10);
@@ -185,7 +186,7 @@
     attempt.isHedge = isHedge;
     attempt.started = Clock::now();
     const fleet::KnownServer *server = m_path.m_slotAllocator.findServer(slot.server);
-    if (server && fleet::ServerDirectory::isUsable(*server))
+    if (server && isUsable(m_path.m_context, *server, attempt.started))
         attempt.server = *server->entry;
     const bool isKnown = !attempt.server.id.empty();
     logEvent(EventLog::Level::Info, "slot_granted", [&](LogLine &line) {
@@ -244,6 +245,11 @@
         scheduleHedge(broker::hedgeRetryDelay(++m_hedgeRefusals));
         return;
     }
+        // A leader that does not know of an evacuation yet grants slots in the same zone again.
+        const bool isInEvacuatedZone =
+            server && server->entry && isEvacuated(m_path.m_context, *server->entry, Clock::now());
+        if (isInEvacuatedZone && ++m_pausedGrants <= maxPausedGrants)
+            --m_slotRequests;
     logEvent(EventLog::Level::Warning, "slot_refused", [&](LogLine &line) {
         line.text("reason", broker::reasonName(slot.reason))
             .text("holder", decision.leader)
--- a/packages/gateway/src/context.h
+++ b/packages/gateway/src/context.h
@@ -24,6 +24,7 @@
     /// Called when a backend server says in a response, to this instance or to one that was granted
     /// its slot, that it leaves. If the second argument is true, the other instances are told.
     std::function<void(const fleet::LeavingServer &, bool)> serverLeaving;
+    fleet::Evacuations evacuations{};
 
     metrics::Counter &counter(const std::string &name, const std::string &help,
                               const metrics::Labels &labels = {})
@@ -32,6 +33,18 @@
     }
 };
 
+/// True if \a server is in an availability zone that is evacuated at \a now.
+inline bool isEvacuated(const Context &context, const fleet::ServerEntry &server, TimePoint now)
+{
+    return context.evacuations.isEvacuated(server.availabilityZone, now);
+}
+
+/// True if new requests may be sent to \a server at \a now.
+inline bool isUsable(const Context &context, const fleet::KnownServer &server, TimePoint now)
+{
+    return fleet::ServerDirectory::isUsable(server) && !isEvacuated(context, *server.entry, now);
+}
+
 /// True if the response of a backend server says that the server leaves.
 inline bool saysLeaving(const loop::HttpResponse &response, const HeaderNames &names)
 {
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -111,7 +111,7 @@
     void serversChanged()
     {
         for (const auto &[id, server] : context.servers.servers()) {
-            if (server.entry && !fleet::ServerDirectory::isUsable(server))
+            if (server.entry && !isUsable(context, server, Clock::now()))
                 pool.clear(*server.entry);
         }
         slotAllocator.updateServers();
--- a/packages/gateway/src/peerchannel.cpp
+++ b/packages/gateway/src/peerchannel.cpp
@@ -1,5 +1,7 @@
 #include "peerchannel.h"
 
+#include "evacuationexchange.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -116,11 +118,18 @@
     message.self->phase = static_cast<std::uint8_t>(self.phase);
     message.self->weight = static_cast<float>(self.weight);
     message.self->can_read_store = self.canReadStore;
-    if (m_tableState)
-        message.tables = std::make_unique<wire::TableState>(m_tableState());
+    addTables(message);
     return message;
 }
 
+void PeerChannel::addTables(wire::GatewayMessageT &message) const
+{
+    if (!m_tableState)
+        return;
+    message.tables = std::make_unique<wire::TableState>(m_tableState());
+    addEvacuations(m_context.evacuations, message);
+}
+
 wire::GatewayMessageT &PeerChannel::pending(const std::string &ip)
 {
     if (!m_isFlushPosted) {
@@ -253,8 +262,7 @@
     }
     // Without the state of this instance, because the message is relayed by others.
     wire::GatewayMessageT message = ownState(false);
-    if (m_tableState)
-        message.tables = std::make_unique<wire::TableState>(m_tableState());
+    addTables(message);
     broadcastTables(message, scope);
 }
 
--- a/packages/gateway/src/peerchannel.h
+++ b/packages/gateway/src/peerchannel.h
@@ -89,6 +89,8 @@
     void requestInstances(TimePoint now, bool hasLivePeer);
     void tick();
     [[nodiscard]] wire::GatewayMessageT ownState(bool isFull) const;
+    /// Adds the state of the tables and the evacuations to \a message.
+    void addTables(wire::GatewayMessageT &message) const;
     /// Returns the live instances that \a ip needs to know in order to join: those of its
     /// availability zone, and a few of each other zone, which reports about its other instances.
     [[nodiscard]] std::vector<fleet::InstanceInfo> contactsFor(const std::string &ip) const;
--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -1,5 +1,7 @@
 #include "slotallocator.h"
 
+#include "evacuationexchange.h"
+
 #include <algorithm>
 
 namespace apricotrock::gateway {
@@ -230,13 +232,15 @@
 
 void SlotAllocator::updateServers(ServiceSlots &service)
 {
+    const TimePoint now = Clock::now();
+    const fleet::ServiceSettings *settings = m_context.routes.service(service.name);
     std::vector<broker::ServerInfo> infos;
     for (const auto &[id, server] : m_context.servers.servers()) {
-        if (!fleet::ServerDirectory::isUsable(server) || server.entry->service != service.name)
+        if (!isUsable(m_context, server, now) || server.entry->service != service.name)
             continue;
         infos.push_back({serverKey(id), std::max(1U, server.entry->slots), true,
-                         server.slowStartUntil, zoneKey(server.entry->availabilityZone),
-                         server.entry->processStartMs});
+                         slowStartUntil(server, m_context.evacuations, settings),
+                         zoneKey(server.entry->availabilityZone), server.entry->processStartMs});
     }
     broker::setServers(service.state, infos);
 }
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -1,5 +1,7 @@
 #include "tablesync.h"
 
+#include "evacuationexchange.h"
+
 #include <algorithm>
 #include <zlib.h>
 
@@ -111,6 +113,7 @@
         message.tables = std::make_unique<wire::TableState>(
             now.configuration_version(), to, std::min(now.last_change(), to), now.read_age_ms(),
             now.store_era(), now.is_reader());
+        addEvacuations(m_context.evacuations, message);
         m_peers.broadcastTables(
             message, isReader() ? PeerChannel::Scope::Fleet : PeerChannel::Scope::OwnZone);
         from = to;
@@ -123,6 +126,7 @@
     wire::GatewayMessageT message;
     message.incarnation = m_context.membership.self().incarnation;
     message.tables = std::make_unique<wire::TableState>(state());
+    addEvacuations(m_context.evacuations, message);
     message.packed_configuration =
         compress(reinterpret_cast<const std::uint8_t *>(text.data()), text.size());
     message.unpacked_configuration_bytes = static_cast<std::uint32_t>(text.size());
@@ -167,6 +171,7 @@
 void TableSync::handleTables(const std::string &ip, const wire::GatewayMessageT &message)
 {
     const wire::TableState &tables = *message.tables;
+    applyPeerEvacuations(message);
     handleConfiguration(ip, message);
     if (!m_context.servers.hasSnapshot())
         fetchFirstTables(ip, tables);
@@ -194,6 +199,29 @@
         fetchConfiguration(ip, tables.configuration_version());
 }
 
+void TableSync::applyPeerEvacuations(const wire::GatewayMessageT &message)
+{
+    if (!message.evacuations.empty())
+        handleEvacuations(m_context.evacuations.merge(evacuationsOf(message), Clock::now()),
+                          "peer");
+}
+
+void TableSync::handleEvacuations(const std::vector<fleet::Evacuations::Change> &changes,
+                                  std::string_view source)
+{
+    if (changes.empty())
+        return;
+    logEvacuations(m_context.log, changes, source);
+    m_encodedTables.clear();
+    m_handlers.serversChanged();
+    // Repeated with every message that carries tables, in case a datagram is lost.
+    if (source != "peer")
+        m_peers.announceTables(isReader() ? PeerChannel::Scope::Fleet
+                                          : PeerChannel::Scope::OwnZone);
+    else if (m_context.membership.usesZoneReports() && isZoneFetcher())
+        m_peers.announce();
+}
+
 void TableSync::handleLeaving(const std::vector<fleet::LeavingServer> &servers,
                               std::string_view source, bool tellsOthers)
 {
@@ -321,6 +349,7 @@
                 return;
             wire::GatewayMessageT message;
             wire::GetGatewayMessage(body.data())->UnPackTo(&message);
+            applyPeerEvacuations(message);
             const auto updates = unpackUpdates(message);
             if (!updates)
                 logUnusableTables(ip, updates.error().message);
@@ -351,6 +380,7 @@
         return m_encodedTables;
     wire::GatewayMessageT message;
     message.tables = std::make_unique<wire::TableState>(state());
+    addEvacuations(m_context.evacuations, message);
     std::vector<StoredRecord> updates;
     for (const auto &[id, record] : m_records) {
         if (record.value)
--- a/packages/gateway/src/tablesync.cpp
+++ b/packages/gateway/src/tablesync.cpp
@@ -1,5 +1,7 @@
 #include "tablesync.h"
 
+#include "evacuationexchange.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -70,6 +72,13 @@
         const fleet::Configuration *configuration = m_context.routes.configuration();
         return configuration ? static_cast<double>(configuration->version) : 0.0;
     });
+    m_context.metrics.gauge(
+        "apricotrock_evacuated_zones", "Availability zones that are evacuated.", {},
+        [this] { return static_cast<double>(m_context.evacuations.evacuatedCount(Clock::now())); });
+    m_context.metrics.gauge(
+        "apricotrock_evacuation_records_ignored",
+        "Records of evacuations beyond the bound of their number or length.", {},
+        [this] { return static_cast<double>(m_context.evacuations.ignoredRecords()); });
     m_context.metrics.gauge("apricotrock_server_position", "Position in the server records.", {},
                             [this] { return static_cast<double>(m_context.servers.position()); });
 }
@@ -186,6 +195,7 @@
         logChanges(expired, "grace_after_outage");
         m_handlers.serversChanged();
     }
+    handleEvacuations(m_context.evacuations.expire(now), "grace_after_restore");
     discoverInstances(now);
     if (m_completedAt == TimePoint() && isComplete()) {
         m_completedAt = now;
@@ -409,7 +419,7 @@
                 return;
             }
             m_configurationPosition = std::max(m_configurationPosition, result->end);
-            applyConfigurationRecords(result->records);
+            applyConfigurationRecords(std::move(result->records), std::nullopt);
         });
 }
 
@@ -428,12 +438,19 @@
         handleStoreSuccess();
         m_configurationPosition = std::max(m_configurationPosition, result->end);
         m_hasConfigurationPosition = true;
-        applyConfigurationRecords(result->records);
+        applyConfigurationRecords(std::move(result->records), fleet::StorePosition{0, result->end});
     });
 }
 
-void TableSync::applyConfigurationRecords(const std::vector<StoredRecord> &records)
+void TableSync::applyConfigurationRecords(std::vector<StoredRecord> records,
+                                          const std::optional<fleet::StorePosition> &snapshotEnd)
 {
+    const TimePoint now = Clock::now();
+    const std::uint32_t era = snapshotEnd ? snapshotEnd->era : 0;
+    const auto orders = takeEvacuations(m_context.adapter, era, records);
+    handleEvacuations(snapshotEnd ? m_context.evacuations.mergeSnapshot(orders, *snapshotEnd, now)
+                                  : m_context.evacuations.merge(orders, now),
+                      "store");
     for (const StoredRecord &record : records) {
         if (record.value)
             applyConfiguration(*record.value, "store");
--- a/packages/gateway/src/tablesync.h
+++ b/packages/gateway/src/tablesync.h
@@ -75,7 +75,14 @@
     void applyServers(const std::vector<StoredRecord> &records, std::uint64_t from,
                       std::uint64_t end, bool isSnapshot, std::string_view source);
     void applyConfiguration(const std::string &text, std::string_view source);
-    void applyConfigurationRecords(const std::vector<StoredRecord> &records);
+    /// Applies records of the topic of the configuration. \a snapshotEnd is the position up to
+    /// which they are complete, if they are the newest records of all keys.
+    void applyConfigurationRecords(std::vector<StoredRecord> records,
+                                   const std::optional<fleet::StorePosition> &snapshotEnd);
+    void applyPeerEvacuations(const wire::GatewayMessageT &message);
+    /// Applies and logs changes of the evacuated zones, and tells the other instances.
+    void handleEvacuations(const std::vector<fleet::Evacuations::Change> &changes,
+                           std::string_view source);
     /// Sends the changes between two positions to all instances.
     void broadcastUpdates(std::vector<StoredRecord> updates, std::uint64_t from, std::uint64_t end);
     /// Logs that the tables of a peer could not be used.
