--- a/packages/backend/src/answerreader.cpp
+++ b/packages/backend/src/answerreader.cpp
@@ -9,6 +9,7 @@
 
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
+constexpr int firstStatus = 100;
 constexpr int firstFinalStatus = 200;
 constexpr int lastStatus = 599;
 constexpr std::string_view contentLength = "Content-Length";
@@ -82,11 +83,13 @@
     const auto space = line.find(' ');
     if (!line.starts_with("HTTP/1.") || space == std::string_view::npos)
         return refuse();
-    const std::string_view digits = trim(line.substr(space + 1)).substr(0, 3);
+    const std::string_view status = trim(line.substr(space + 1));
+    const std::string_view digits = status.substr(0, status.find(' '));
     const auto [stop, error] =
         std::from_chars(digits.data(), digits.data() + digits.size(), m_response.status);
     const bool isNumber = error == std::errc() && stop == digits.data() + digits.size();
-    return isNumber && digits.size() == 3 ? true : refuse();
+    const bool isStatus = isNumber && digits.size() == 3 && m_response.status >= firstStatus;
+    return isStatus ? true : refuse();
 }
 
 bool AnswerReader::addHeader(std::string_view line)
--- a/packages/backend/tests/answerreadertest.cpp
+++ b/packages/backend/tests/answerreadertest.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST_SUITE(AnswerReaderTest);
     CPPUNIT_TEST(ambiguousOrUnverifiableFramingIsRefused);
     CPPUNIT_TEST(malformedHeadsAreRefused);
+    CPPUNIT_TEST(invalidStatusesAreRefused);
     CPPUNIT_TEST(interimAnswersAndTrailersAreNotPartOfTheAnswer);
     CPPUNIT_TEST(boundsAreEnforced);
     CPPUNIT_TEST_SUITE_END();
@@ -65,6 +66,18 @@
             CPPUNIT_ASSERT_MESSAGE(head, !isAccepted(std::string(head) + "Content-Length: 0\n\n"));
     }
 
+    // Guards against an invalid status that is skipped like that of an interim answer, or read as
+    // another one.
+    void invalidStatusesAreRefused()
+    {
+        for (const char *status : {"000 ", "099 Low", "0200 OK", "0100 Continue", "2000 OK"}) {
+            AnswerReader reader({1000, 10}, false);
+            CPPUNIT_ASSERT_MESSAGE(status,
+                                   !feed(reader, std::string("HTTP/1.1 ") + status + "\n\n"));
+            CPPUNIT_ASSERT(reader.isInvalid());
+        }
+    }
+
     // Guards against a trailer that overrides a header, and against headers of an interim answer.
     void interimAnswersAndTrailersAreNotPartOfTheAnswer()
     {
