Fleet: Never choose a disabled part of a traffic split

chooseDestination() returned the last destination if rounding left a rest after all parts, also when its weight was 0.

--- a/packages/fleet/src/routetable.cpp
+++ b/packages/fleet/src/routetable.cpp
@@ -46,12 +46,16 @@
     for (const Destination &each : route.destinations)
         total += each.weight;
     double remaining = random * total;
+    const Destination *chosen = &route.destinations.back();
     for (const Destination &each : route.destinations) {
         remaining -= each.weight;
+        // Rounding can leave a rest above 0 after the last destination that is not disabled.
+        if (each.weight > 0)
+            chosen = &each;
         if (remaining < 0)
-            return each;
+            break;
     }
-    return route.destinations.back();
+    return *chosen;
 }
 
 std::vector<std::string> validate(const Configuration &configuration)
--- a/packages/fleet/tests/routetabletest.cpp
+++ b/packages/fleet/tests/routetabletest.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cmath>
+
 using namespace apricotrock;
 using namespace apricotrock::fleet;
 using namespace std::chrono_literals;
@@ -37,6 +39,7 @@
     CPPUNIT_TEST(otherHostsAndPathsMatchNoRoute);
     CPPUNIT_TEST(requestsAreSplitByWeight);
     CPPUNIT_TEST(zeroWeightDestinationIsNeverChosen);
+    CPPUNIT_TEST(everyPartOfASplitKeepsItsShare);
     CPPUNIT_TEST(validationReportsEveryProblem);
     CPPUNIT_TEST_SUITE_END();
 
@@ -81,6 +84,29 @@
             CPPUNIT_ASSERT_EQUAL(std::string("t"), chooseDestination(route, i / 100.0).service);
     }
 
+    // Guards against a share that differs from the weight with several parts, and against rounding
+    // that chooses a disabled destination for the greatest numbers below 1.
+    void everyPartOfASplitKeepsItsShare()
+    {
+        Route route = makeRoute("r", "h", "/a/");
+        route.destinations = {{"s", 0.1}, {"t", 0.2}, {"u", 0.7}, {"v", 0}};
+        std::map<std::string, int> counts;
+        for (int i = 0; i < 10000; ++i)
+            ++counts[chooseDestination(route, i / 10000.0).service];
+        // The first number of a part can be rounded into the part before.
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1000.0, counts["s"], 1.0);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2000.0, counts["t"], 1.0);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(7000.0, counts["u"], 1.0);
+        CPPUNIT_ASSERT_EQUAL(0, counts["v"]);
+        const double greatest = std::nextafter(1.0, 0.0);
+        for (int first = 1; first < 100; ++first) {
+            for (int second = 1; second < 100; ++second) {
+                route.destinations = {{"s", first / 100.0}, {"t", second / 100.0}, {"v", 0}};
+                CPPUNIT_ASSERT(chooseDestination(route, greatest).service != "v");
+            }
+        }
+    }
+
     // Guards against a validation that stops at the first problem.
     void validationReportsEveryProblem()
     {
