Gateway: Count the time to send a large body in slot requests

A leader granted slots to uploads that the instance could not send before the deadline: 360 kB take 288 ms on a link of 10 Mbit/s.

Without a link rate in the settings and for smaller bodies nothing changes.

--- a/packages/gateway/include/apricotrock/gateway.h
+++ b/packages/gateway/include/apricotrock/gateway.h
@@ -129,8 +129,18 @@
     std::size_t responseMemoryBytes = std::size_t(32) * 1024 * 1024;
     /// Memory for the bodies of requests, from their header until the request is finished.
     std::size_t requestMemoryBytes = std::size_t(128) * 1024 * 1024;
+    /// Rate of the own network link; 0 if it is not known.
+    double linkBytesPerSecond = 0;
 };
 
+/// The time to send a body is taken into account for bodies above this size.
+inline constexpr std::size_t minUploadBytes = std::size_t(16) * 1024;
+inline constexpr Duration maxSendingTime = std::chrono::hours(1);
+
+/// Returns the time to send a body of \a bodyBytes on a link of \a linkBytesPerSecond: 0 for a
+/// small body or an unknown rate, and at most maxSendingTime.
+Duration sendingTime(std::size_t bodyBytes, double linkBytesPerSecond);
+
 /// One entry instance.
 class Gateway
 {
--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -72,6 +72,13 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bounded));
 }
 
+/// Returns the part of the duration of an attempt that was spent on the backend server. The body
+/// can be sent faster than the link rate, so at most half of it counts as sending.
+Duration serverDuration(Duration duration, Duration sendingTime)
+{
+    return duration - std::min(sendingTime, duration / 2);
+}
+
 std::string formatSeconds(Duration duration)
 {
     return fmt::format("{:.3f}", std::chrono::duration<double>(duration).count());
@@ -79,6 +86,14 @@
 
 } // namespace
 
+Duration sendingTime(std::size_t bodyBytes, double linkBytesPerSecond)
+{
+    if (bodyBytes <= minUploadBytes || linkBytesPerSecond <= 0)
+        return {};
+    const std::chrono::duration<double> time(static_cast<double>(bodyBytes) / linkBytesPerSecond);
+    return time < maxSendingTime ? std::chrono::duration_cast<Duration>(time) : maxSendingTime;
+}
+
 Call::Call(RequestPath &path, std::shared_ptr<loop::HttpExchange> exchange)
     : m_path(path), m_activeCalls(path.m_activeCalls), m_exchange(std::move(exchange))
 {
@@ -93,6 +108,8 @@
 void Call::start(Plan plan)
 {
     m_plan = std::move(plan);
+    m_sendingTime = sendingTime(m_exchange->request().body.size(),
+                                m_path.m_context.settings.linkBytesPerSecond);
     logEvent(EventLog::Level::Info, "request_routed", [this](LogLine &line) {
         line.text("route", m_plan.routeName)
             .text("service", m_plan.service)
@@ -146,8 +163,9 @@
     attempt.earlierAttempts = m_attemptsSent;
     attempt.isHedge = isHedge;
     attempt.objective = m_plan.objective;
-    attempt.target = m_plan.target;
-    attempt.deadline = m_plan.deadline;
+    // The leader's expected duration does not cover the time to send a large body.
+    attempt.target = m_plan.target - m_sendingTime;
+    attempt.deadline = m_plan.deadline - m_sendingTime;
     if (!m_plan.organisation.empty())
         attempt.organisation = organisationKey(m_plan.organisation);
     attempt.weight = m_plan.weight;
@@ -227,6 +245,11 @@
     const bool isOfService = isKnown && m_attempts[index].server.service == m_plan.service;
     if (!isOfService) {
         m_excludedServers.push_back(slot.server);
+        // A leader that does not know of an evacuation yet grants slots in the same zone again.
+        const bool isInEvacuatedZone =
+            server && server->entry && isEvacuated(m_path.m_context, *server->entry, Clock::now());
+        if (isInEvacuatedZone && ++m_pausedGrants <= maxPausedGrants)
+            --m_slotRequests;
         endAttempt(index, broker::AttemptOutcome::Cancelled, std::nullopt);
         if (!isHedge)
             retryOrFail(isKnown ? "server_of_other_service" : "server_left");
@@ -245,11 +268,6 @@
         scheduleHedge(broker::hedgeRetryDelay(++m_hedgeRefusals));
         return;
     }
-        // A leader that does not know of an evacuation yet grants slots in the same zone again.
-        const bool isInEvacuatedZone =
-            server && server->entry && isEvacuated(m_path.m_context, *server->entry, Clock::now());
-        if (isInEvacuatedZone && ++m_pausedGrants <= maxPausedGrants)
-            --m_slotRequests;
     logEvent(EventLog::Level::Warning, "slot_refused", [&](LogLine &line) {
         line.text("reason", broker::reasonName(slot.reason))
             .text("holder", decision.leader)
@@ -330,7 +348,7 @@
         });
     if (m_plan.isIdempotent && !attempt.isHedge && m_attemptsSent < m_plan.maxAttempts) {
         const auto delay = std::chrono::duration_cast<Duration>(attempt.expected * hedgeFactor);
-        scheduleHedge(std::max(delay, minHedgeDelay));
+        scheduleHedge(m_sendingTime + std::max(delay, minHedgeDelay));
     }
 }
 
@@ -457,7 +475,7 @@
     end.server = attempt.key;
     end.outcome = outcome;
     end.load = load;
-    end.duration = Clock::now() - attempt.started;
+    end.duration = serverDuration(Clock::now() - attempt.started, m_sendingTime);
     end.pause = pause;
     const fleet::ServerEntry server = attempt.server;
     m_path.m_slotAllocator.finishAttempt(attempt.ticket, end, isLeaving ? &server : nullptr);
--- a/packages/gateway/src/call.h
+++ b/packages/gateway/src/call.h
@@ -107,6 +107,8 @@
     /// Attempts that may have run the request.
     unsigned m_attemptsSent = 0;
     unsigned m_slotRequests = 0;
+    /// Time to send the body of the request on the own link.
+    Duration m_sendingTime{};
     unsigned m_pausedGrants = 0;
     unsigned m_hedgeRefusals = 0;
     bool m_mayHaveRun = false;
