--- a/packages/gateway/src/context.h
+++ b/packages/gateway/src/context.h
@@ -29,6 +29,7 @@
     /// When the configuration in force was last known to be the newest one: by a read of the store
     /// or by the message of an instance that reads it.
     TimePoint configurationConfirmedAt{};
+    fleet::Evacuations evacuations{};
 
     metrics::Counter &counter(const std::string &name, const std::string &help,
                               const metrics::Labels &labels = {})
@@ -44,6 +45,18 @@
     }
 };
 
+/// True if \a server is in an availability zone that is evacuated at \a now.
+inline bool isEvacuated(const Context &context, const fleet::ServerEntry &server, TimePoint now)
+{
+    return context.evacuations.isEvacuated(server.availabilityZone, now);
+}
+
+/// True if new requests may be sent to \a server at \a now.
+inline bool isUsable(const Context &context, const fleet::KnownServer &server, TimePoint now)
+{
+    return fleet::ServerDirectory::isUsable(server) && !isEvacuated(context, *server.entry, now);
+}
+
 /// True if the response of a backend server says that the server leaves.
 inline bool saysLeaving(const loop::HttpResponse &response, const HeaderNames &names)
 {
