Gateway: Ask the quota owner of an organisation before a slot

Requests whose plan needs a token get it from the leader for quota/NAME, or 429 with Retry-After, or 503 if no owner can be reached. Unused tokens are returned. Membership reports the share of the known fleet that is in contact, which limits what a part of the fleet grants.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -260,6 +260,20 @@
     /// The peer gets no roles until then, because requests to it were not answered.
     TimePoint suspectUntil;
     TimePoint lastHeartbeatSent;
+    /// Time at which contact to the peer was lost; nothing if it was never alive or said that it
+    /// stops.
+    std::optional<TimePoint> lostAt;
+};
+
+/// How much of the fleet an instance is in contact with, itself included.
+struct FleetContact
+{
+    std::size_t alive = 1;
+    /// The live instances and those that were lost less than 12 s ago without announcing a stop.
+    std::size_t known = 1;
+
+    /// True if contact to at least half of the known fleet is lost.
+    [[nodiscard]] bool hasLostHalf() const { return (known - alive) * 2 >= known; }
 };
 
 /// Order of the instances of an availability zone in the tree by which they relay a message.
@@ -326,6 +340,10 @@
     [[nodiscard]] std::vector<std::string> serving() const;
     /// Returns the number of live instances, including this one.
     [[nodiscard]] std::size_t aliveCount() const;
+    [[nodiscard]] FleetContact contact(TimePoint now) const;
+    /// Returns the IP numbers of the other instances that accept connections from callers: those
+    /// alive, or if there are none, those that count as known in contact().
+    [[nodiscard]] std::vector<std::string> otherServing(TimePoint now) const;
     /// Returns the number of live instances of \a availabilityZone without this one.
     [[nodiscard]] std::size_t alivePeersIn(std::string_view availabilityZone) const;
 
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -29,6 +29,9 @@
 constexpr double minRoleWeightShare = 0.5;
 /// Time after which a dead instance is removed; it announces itself if it returns.
 constexpr Duration deadPeerRetention = seconds(60);
+/// Instances that were lost less than this ago count as known: as long as a part of the fleet is
+/// expected to be cut off.
+constexpr Duration lostPeerWindow = seconds(12);
 
 /// Returns the weighted rendezvous score: the share of roles of an instance is proportional to its
 /// weight.
@@ -46,6 +49,18 @@
         == std::tie(right.phase, right.weight, right.canReadStore);
 }
 
+void markLost(Peer &peer, TimePoint now)
+{
+    peer.isAlive = false;
+    if (peer.info.phase < InstancePhase::Leaving)
+        peer.lostAt = now;
+}
+
+bool isRecentlyLost(const Peer &peer, TimePoint now)
+{
+    return !peer.isAlive && peer.lostAt && now - *peer.lostAt < lostPeerWindow;
+}
+
 } // namespace
 
 bool Membership::addPeer(const InstanceInfo &info, TimePoint now)
@@ -74,6 +89,7 @@
     peer.lastHeard = now;
     peer.isFromZoneReport = usesZoneReports() && info.availabilityZone != m_self.availabilityZone;
     peer.isAlive = info.phase != InstancePhase::Stopped;
+    peer.lostAt.reset();
     if (isNew)
         peer.suspectUntil = {};
     if (isNew || isRankChanged || wasAlive != peer.isAlive)
@@ -158,7 +174,7 @@
         if (!peer.isAlive || peer.info.availabilityZone != availabilityZone || named.contains(ip)
             || now - peer.lastHeard <= heartbeatTimeout)
             continue;
-        peer.isAlive = false;
+        markLost(peer, now);
         ++m_generation;
     }
 }
@@ -171,7 +187,7 @@
             || now - peer.lastHeard
                 < (peer.isFromZoneReport ? zoneReportTimeout : heartbeatTimeout))
             continue;
-        peer.isAlive = false;
+        markLost(peer, now);
         ++m_generation;
         lost.push_back(ip);
     }
@@ -241,6 +257,31 @@
     return addresses;
 }
 
+FleetContact Membership::contact(TimePoint now) const
+{
+    FleetContact contact;
+    for (const auto &[ip, peer] : m_peers) {
+        contact.alive += peer.isAlive ? 1 : 0;
+        contact.known += peer.isAlive || isRecentlyLost(peer, now) ? 1 : 0;
+    }
+    return contact;
+}
+
+std::vector<std::string> Membership::otherServing(TimePoint now) const
+{
+    std::vector<std::string> alive;
+    std::vector<std::string> lost;
+    for (const auto &[ip, peer] : m_peers) {
+        if (peer.info.phase != InstancePhase::Ready)
+            continue;
+        if (peer.isAlive)
+            alive.push_back(ip);
+        else if (isRecentlyLost(peer, now))
+            lost.push_back(ip);
+    }
+    return alive.empty() ? lost : alive;
+}
+
 std::size_t Membership::alivePeersIn(std::string_view availabilityZone) const
 {
     return static_cast<std::size_t>(
--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -107,7 +107,51 @@
     });
     m_deadlineTimer =
         m_path.m_context.timers.callAt(m_plan.deadline, [self] { self->handleDeadline(); });
-    requestSlot(false);
+    if (m_plan.needsToken)
+        requestToken();
+    else
+        requestSlot(false);
+}
+
+void Call::requestToken()
+{
+    // The callback may run before requestToken() returns.
+    auto isAnswered = std::make_shared<bool>(false);
+    const std::uint64_t ticket = m_path.m_quotaAllocator.requestToken(
+        m_plan.organisation,
+        [self = shared_from_this(), isAnswered](const QuotaDecision &decision) {
+            *isAnswered = true;
+            self->m_pendingToken.reset();
+            self->handleTokenDecision(decision);
+        });
+    if (!*isAnswered)
+        m_pendingToken = ticket;
+}
+
+void Call::handleTokenDecision(const QuotaDecision &decision)
+{
+    if (decision.verdict == quota::Verdict::Granted) {
+        m_token = decision.token;
+        requestSlot(false);
+        return;
+    }
+    const bool isExceeded = decision.verdict == quota::Verdict::Exceeded;
+    const std::string_view reason = isExceeded ? "quota_exceeded" : "quota_unknown";
+    logEvent(EventLog::Level::Warning, "quota_refused", [&](LogLine &line) {
+        line.text("organisation", m_plan.organisation)
+            .text("reason", reason)
+            .milliseconds("retry_after", decision.retryAfter)
+            .milliseconds("waited", Clock::now() - m_plan.arrived);
+    });
+    fail(isExceeded ? 429 : 503, reason, decision.retryAfter);
+}
+
+void Call::returnUnusedToken()
+{
+    if (!m_token || m_hasReachedServer || wasSent())
+        return;
+    m_path.m_quotaAllocator.returnToken(*m_token);
+    m_token.reset();
 }
 
 void Call::endBy(TimePoint deadline)
@@ -118,7 +162,7 @@
     m_endsWithStop = true;
     logEvent(EventLog::Level::Info, "deadline_shortened", [this](LogLine &line) {
         line.milliseconds("deadline", m_plan.deadline - m_plan.arrived)
-            .flag("waiting", m_pendingSlot.has_value());
+            .flag("waiting", m_pendingSlot.has_value() || m_pendingToken.has_value());
     });
     const auto self = shared_from_this();
     m_path.m_context.timers.cancel(m_deadlineTimer);
@@ -411,9 +455,15 @@
         if (isLeaving)
             line.flag("leaving", true);
     });
+    if (outcome != broker::AttemptOutcome::ConnectFailed)
+        m_hasReachedServer = true;
     endAttempt(index, outcome, load, pause, isLeaving);
-    if (m_isFinished)
+    if (m_isFinished) {
+        // The caller has left while the attempt was running.
+        if (!hasRunningAttempt())
+            returnUnusedToken();
         return;
+    }
     switch (outcome) {
     case broker::AttemptOutcome::Answered:
         respond(index, result.response);
@@ -496,6 +546,7 @@
     m_deadlineTimer = 0;
     if (m_isFinished) {
         // The caller has disconnected; cancel the attempts that still run.
+        returnUnusedToken();
         cancelAttempts(broker::AttemptOutcome::TimedOut);
         return;
     }
@@ -591,7 +642,7 @@
     m_path.recordLatency(latency);
     loop::Headers headers{{"Content-Type", "text/plain"},
                           {m_path.m_context.adapter.headers.requestId, m_plan.requestId}};
-    if (status == 503)
+    if (status == 503 || status == 429)
         headers.push_back({"Retry-After", formatSeconds(retryAfter)});
     m_exchange->respond(status, headers, reason, false);
     writeLog(false);
@@ -622,6 +673,10 @@
     m_isFinished = true;
     m_path.m_context.timers.cancel(m_deadlineTimer);
     m_path.m_context.timers.cancel(m_hedgeTimer);
+    if (m_pendingToken)
+        m_path.m_quotaAllocator.cancel(*m_pendingToken);
+    m_pendingToken.reset();
+    returnUnusedToken();
     if (m_pendingSlot)
         m_path.m_slotAllocator.cancel(*m_pendingSlot);
     if (m_pendingHedgeSlot)
--- a/packages/gateway/src/call.h
+++ b/packages/gateway/src/call.h
@@ -54,6 +54,10 @@
         bool isRunning = true;
     };
 
+    void requestToken();
+    void handleTokenDecision(const QuotaDecision &decision);
+    /// Returns the token if no backend server can have received the request.
+    void returnUnusedToken();
     void requestSlot(bool isHedge);
     void handleSlotDecision(bool isHedge, const SlotDecision &decision);
     void handleSlotGranted(bool isHedge, const SlotDecision &decision);
@@ -100,6 +104,9 @@
     Plan m_plan;
     std::vector<Attempt> m_attempts;
     std::vector<broker::ServerKey> m_excludedServers;
+    /// Ticket of the pending request for a token.
+    std::optional<std::uint64_t> m_pendingToken;
+    std::optional<QuotaToken> m_token;
     std::optional<SlotTicket> m_pendingSlot;
     std::optional<SlotTicket> m_pendingHedgeSlot;
     loop::LoopTimers::Id m_deadlineTimer = 0;
@@ -110,6 +117,8 @@
     unsigned m_pausedGrants = 0;
     unsigned m_hedgeRefusals = 0;
     bool m_mayHaveRun = false;
+    /// An attempt has reached a backend server, even if the server did not run the request.
+    bool m_hasReachedServer = false;
     /// The deadline is that of a planned stop.
     bool m_endsWithStop = false;
     bool m_isFinished = false;
--- a/packages/gateway/src/context.h
+++ b/packages/gateway/src/context.h
@@ -54,6 +54,19 @@
     return hash64(name, 6);
 }
 
+inline std::uint64_t instanceKey(std::string_view ip)
+{
+    return hash64(ip, 3);
+}
+
+/// Returns the first ticket number of a process: random, so that its tickets differ from those of
+/// the processes before it. Fits into the signed numbers of the log.
+inline std::uint64_t firstTicket(std::uint64_t incarnation)
+{
+    constexpr unsigned unusedBits = 2;
+    return incarnation >> unusedBits;
+}
+
 inline std::uint32_t zoneKey(std::string_view name)
 {
     return static_cast<std::uint32_t>(hash64(name, 5));
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -70,8 +70,13 @@
                   [this](const auto &leaving, bool tellsOthers) {
                       tables.handleLeaving({leaving}, "response", tellsOthers);
                   }},
-          peers(context, peerHandlers()), slotAllocator(context, peers), pool(context),
-          path(context, slotAllocator, pool), prober(context, slotAllocator, pool),
+          peers(context, peerHandlers()), slotAllocator(context, peers),
+          quotaAllocator(quotaEnvironment(), peers, context.metrics,
+                         {settings.quota.window, settings.quota.overage, settings.quota.slack},
+                         firstTicket(context.membership.self().incarnation),
+                         std::random_device{}()),
+          pool(context), path(context, slotAllocator, quotaAllocator, pool),
+          prober(context, slotAllocator, pool),
           tables(context, peers,
                  {[this] { serversChanged(); }, [this] { configurationChanged(); }}),
           callers(io, timers, [this](const auto &exchange) { path.handle(exchange); }),
@@ -96,7 +101,48 @@
                 [this](const auto &leaving) { tables.handleLeaving(leaving, "peer", false); },
                 [this](const auto &crash) { slotAllocator.handleCrashReport(crash); },
                 [this](const auto &ip) { peerChanged(ip, "peer_joined"); },
-                [this](const auto &ip) { peerChanged(ip, "peer_lost"); }};
+                [this](const auto &ip) { peerChanged(ip, "peer_lost"); },
+                [this](const auto &ip, const auto &ask) { quotaAllocator.handleRequest(ip, ask); },
+                [this](const auto &ip, const auto &answer) {
+                    quotaAllocator.handleResponse(ip, answer);
+                },
+                [this](const auto &ip, const auto &end) { quotaAllocator.handleReturn(ip, end); }};
+    }
+
+    QuotaEnvironment quotaEnvironment()
+    {
+        return {context.settings.ip,
+                [] { return Clock::now(); },
+                [this](Duration delay, std::function<void()> callback) {
+                    return context.timers.callAfter(delay, std::move(callback));
+                },
+                [this](std::uint64_t timer) { context.timers.cancel(timer); },
+                [this](const std::string &role, TimePoint now) {
+                    return context.membership.leaderFor(role, false, now);
+                },
+                [this](TimePoint now) { return context.membership.contact(now); },
+                [this](const auto &ip, const auto &organisation) {
+                    quotaOwnerSilent(ip, organisation);
+                },
+                [this](const auto &organisation, const auto &owner, const auto &before) {
+                    context.log.write(
+                        EventLog::Level::Info, "quota_owner_changed", [&](LogLine &line) {
+                            line.text("organisation", organisation)
+                                .text("owner", owner)
+                                .text("before", before)
+                                .number("alive",
+                                        static_cast<std::int64_t>(context.membership.aliveCount()));
+                        });
+                }};
+    }
+
+    void quotaOwnerSilent(const std::string &ip, const std::string &organisation)
+    {
+        if (!slotAllocator.suspectIfSilent(ip))
+            return;
+        context.log.write(EventLog::Level::Warning, "quota_owner_silent", [&](LogLine &line) {
+            line.text("owner", ip).text("organisation", organisation);
+        });
     }
 
     void peerChanged(const std::string &ip, std::string_view event)
@@ -123,6 +169,8 @@
         const fleet::CallerLimits &limits = context.routes.configuration()->limits;
         callers.setLimits(
             {limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout});
+        quotaAllocator.setOrganisations(context.routes.configuration()->organisations,
+                                        context.routes.configuration()->version);
         becomeReady();
     }
 
@@ -168,6 +216,20 @@
         }
         suspendedTime = offset;
         slotAllocator.updateLeaders();
+        quotaAllocator.tick();
+    }
+
+    /// An instance that was cut off can't grant tokens, so that callers should leave it while there
+    /// are quotas.
+    std::vector<std::string> addressesForCallers() const
+    {
+        const TimePoint now = Clock::now();
+        if (quotaAllocator.hasQuotas() && context.membership.contact(now).hasLostHalf()) {
+            std::vector<std::string> others = context.membership.otherServing(now);
+            if (!others.empty())
+                return others;
+        }
+        return context.membership.serving();
     }
 
     void finishStop(const std::function<void()> &finished, TimePoint end)
@@ -194,6 +256,7 @@
     Context context;
     PeerChannel peers;
     SlotAllocator slotAllocator;
+    QuotaAllocator quotaAllocator;
     BackendPool pool;
     RequestPath path;
     Prober prober;
@@ -262,7 +325,7 @@
     const Context &context = m_private->context;
     std::vector<std::string> near;
     std::vector<std::string> far;
-    for (const std::string &ip : context.membership.serving()) {
+    for (const std::string &ip : m_private->addressesForCallers()) {
         const auto found = context.membership.peers().find(ip);
         const std::string &zone = found == context.membership.peers().end()
             ? context.settings.availabilityZone
--- a/packages/gateway/src/peerchannel.cpp
+++ b/packages/gateway/src/peerchannel.cpp
@@ -155,6 +155,21 @@
     pending(ip).ends.push_back(end);
 }
 
+void PeerChannel::sendQuotaRequest(const std::string &ip, const wire::QuotaRequest &request)
+{
+    pending(ip).quota_requests.push_back(request);
+}
+
+void PeerChannel::sendQuotaResponse(const std::string &ip, const wire::QuotaResponse &response)
+{
+    pending(ip).quota_responses.push_back(response);
+}
+
+void PeerChannel::sendQuotaReturn(const std::string &ip, const wire::QuotaReturn &message)
+{
+    pending(ip).quota_returns.push_back(message);
+}
+
 void PeerChannel::send(const std::string &ip, const wire::GatewayMessageT &message)
 {
     flatbuffers::FlatBufferBuilder builder(512);
@@ -553,6 +568,12 @@
         m_handlers.slotRequest(ip, each);
     for (const wire::SlotResponse &each : message.answers)
         m_handlers.slotResponse(ip, each);
+    for (const wire::QuotaReturn &each : message.quota_returns)
+        m_handlers.quotaReturn(ip, each);
+    for (const wire::QuotaRequest &each : message.quota_requests)
+        m_handlers.quotaRequest(ip, each);
+    for (const wire::QuotaResponse &each : message.quota_responses)
+        m_handlers.quotaResponse(ip, each);
     if (message.relay != static_cast<std::uint8_t>(RelayOrder::None))
         relayInZone(ip, message);
     if (message.tables)
--- a/packages/gateway/src/peerchannel.h
+++ b/packages/gateway/src/peerchannel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "context.h"
+#include "quotaallocator.h"
 
 #include "apricotrock/gateway_generated.h"
 
@@ -10,7 +11,7 @@
 
 /// Exchanges datagrams with other instances. Messages to one instance that are queued in the same
 /// iteration of the event loop are sent in one datagram.
-class PeerChannel
+class PeerChannel : public QuotaSender
 {
 public:
     struct Handlers
@@ -25,6 +26,9 @@
         /// Called when an instance appears or comes back.
         std::function<void(const std::string &ip)> joined;
         std::function<void(const std::string &ip)> lost;
+        std::function<void(const std::string &ip, const wire::QuotaRequest &)> quotaRequest;
+        std::function<void(const std::string &ip, const wire::QuotaResponse &)> quotaResponse;
+        std::function<void(const std::string &ip, const wire::QuotaReturn &)> quotaReturn;
     };
 
     PeerChannel(Context &context, Handlers handlers);
@@ -33,6 +37,9 @@
     void sendSlotRequest(const std::string &ip, const wire::SlotRequest &ask);
     void sendSlotResponse(const std::string &ip, const wire::SlotResponse &answer);
     void sendSlotRelease(const std::string &ip, const wire::SlotRelease &end);
+    void sendQuotaRequest(const std::string &ip, const wire::QuotaRequest &request) override;
+    void sendQuotaResponse(const std::string &ip, const wire::QuotaResponse &response) override;
+    void sendQuotaReturn(const std::string &ip, const wire::QuotaReturn &message) override;
     /// Sends \a message to every live instance.
     void broadcast(const wire::GatewayMessageT &message);
     enum class Scope { Fleet, OwnZone };
--- a/packages/gateway/src/requestpath.cpp
+++ b/packages/gateway/src/requestpath.cpp
@@ -32,8 +32,10 @@
 
 } // namespace
 
-RequestPath::RequestPath(Context &context, SlotAllocator &slotAllocator, BackendPool &pool)
-    : m_context(context), m_slotAllocator(slotAllocator), m_pool(pool)
+RequestPath::RequestPath(Context &context, SlotAllocator &slotAllocator,
+                         QuotaAllocator &quotaAllocator, BackendPool &pool)
+    : m_context(context), m_slotAllocator(slotAllocator), m_quotaAllocator(quotaAllocator),
+      m_pool(pool)
 {
     m_context.metrics.gauge("apricotrock_requests_in_work", "Requests without a final answer.", {},
                             [this] { return static_cast<double>(m_activeCalls->size()); });
--- a/packages/gateway/src/requestpath.h
+++ b/packages/gateway/src/requestpath.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backendpool.h"
+#include "quotaallocator.h"
 #include "slotallocator.h"
 
 #include <random>
@@ -14,7 +15,8 @@
 class RequestPath
 {
 public:
-    RequestPath(Context &context, SlotAllocator &slotAllocator, BackendPool &pool);
+    RequestPath(Context &context, SlotAllocator &slotAllocator, QuotaAllocator &quotaAllocator,
+                BackendPool &pool);
 
     void handle(const std::shared_ptr<loop::HttpExchange> &exchange);
     /// True for requests that may be handled at the same time as others of their connection.
@@ -44,6 +46,7 @@
 
     Context &m_context;
     SlotAllocator &m_slotAllocator;
+    QuotaAllocator &m_quotaAllocator;
     BackendPool &m_pool;
     std::unordered_map<std::uint64_t, RouteHistory> m_routeHistory;
     std::mt19937_64 m_random{std::random_device{}()};
--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -27,19 +27,6 @@
 /// The servers of a service are not probed when nobody has requested a slot for this long.
 constexpr Duration idleProbeTime = milliseconds(5000);
 
-std::uint64_t instanceKey(const std::string &ip)
-{
-    return hash64(ip, 3);
-}
-
-/// Returns the first ticket number of a process: random, so that its tickets differ from those of
-/// the processes before it. Fits into the signed numbers of the log.
-std::uint64_t firstTicket(std::uint64_t incarnation)
-{
-    constexpr unsigned unusedBits = 2;
-    return incarnation >> unusedBits;
-}
-
 std::int32_t toMicroseconds(Duration duration)
 {
     const auto count = std::chrono::duration_cast<microseconds>(duration).count();
@@ -321,19 +308,25 @@
                                                [this, ticket] { handleRequestTimeout(ticket); });
 }
 
+bool SlotAllocator::suspectIfSilent(const std::string &ip)
+{
+    const TimePoint now = Clock::now();
+    const auto peer = m_context.membership.peers().find(ip);
+    if (peer != m_context.membership.peers().end()
+        && now - peer->second.lastHeard <= requestTimeout)
+        return false;
+    m_context.membership.markSuspect(ip, suspicionDuration, now);
+    updateLeaders();
+    return true;
+}
+
 void SlotAllocator::handleRequestTimeout(std::uint64_t ticket)
 {
     const auto found = m_pendingRequests.find(ticket);
     if (found == m_pendingRequests.end())
         return;
-    const TimePoint now = Clock::now();
     const std::string leader = found->second.leader;
-    const auto peer = m_context.membership.peers().find(leader);
-    const bool isUnresponsive =
-        peer == m_context.membership.peers().end() || now - peer->second.lastHeard > requestTimeout;
-    if (isUnresponsive) {
-        m_context.membership.markSuspect(leader, suspicionDuration, now);
-        updateLeaders();
+    if (suspectIfSilent(leader)) {
         m_context.log.write(EventLog::Level::Warning, "slot_holder_silent", [&](LogLine &line) {
             line.text("holder", leader)
                 .text("service", found->second.request.service)
--- a/packages/gateway/src/slotallocator.h
+++ b/packages/gateway/src/slotallocator.h
@@ -62,6 +62,9 @@
     /// Called when the set of backend servers or of instances has changed.
     void updateServers();
     void updateLeaders();
+    /// Called when the instance \a ip has not answered a request in time. Excludes it from roles
+    /// for a while and returns true, unless another message from it arrived meanwhile.
+    bool suspectIfSilent(const std::string &ip);
 
     /// Returns a backend server by its key, or nullptr.
     [[nodiscard]] const fleet::KnownServer *findServer(broker::ServerKey key) const;
