--- a/packages/fleet/tests/membershiptest.cpp
+++ b/packages/fleet/tests/membershiptest.cpp
@@ -46,9 +46,36 @@
     CPPUNIT_TEST(relayReachesAllOthersIfOneInstanceFails);
     CPPUNIT_TEST(startingInstancesAgreeOnALeader);
     CPPUNIT_TEST(leaderFollowsEveryChangeOfTheCandidates);
+    CPPUNIT_TEST(recentlyLostInstancesAreKnown);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against an isolated instance that takes itself for the whole fleet, and against
+    // counting instances that have announced their stop.
+    void recentlyLostInstancesAreKnown()
+    {
+        const TimePoint start{1h};
+        Membership membership(makeInfo("10.0.0.1"));
+        CPPUNIT_ASSERT(!membership.contact(start).hasLostHalf());
+        for (int i = 2; i <= 5; ++i)
+            membership.updatePeer(makeInfo("10.0.0." + std::to_string(i)), start);
+        membership.updatePeer(makeInfo("10.0.0.5", InstancePhase::Leaving), start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), membership.contact(start).alive);
+        membership.updatePeer(makeInfo("10.0.0.2"), start + 2s);
+        membership.expire(start + 2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), membership.contact(start + 2s).alive);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), membership.contact(start + 2s).known);
+        CPPUNIT_ASSERT(membership.contact(start + 2s).hasLostHalf());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), membership.otherServing(start + 2s).size());
+        membership.expire(start + 4s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), membership.otherServing(start + 4s).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), membership.contact(start + 13s).known);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), membership.contact(start + 16s).known);
+        CPPUNIT_ASSERT(membership.otherServing(start + 16s).empty());
+        membership.updatePeer(makeInfo("10.0.0.2"), start + 16s);
+        CPPUNIT_ASSERT(!membership.contact(start + 16s).hasLostHalf());
+    }
+
     // Guards against a start at which each instance takes itself for the leader, so that all of
     // them read the store and probe the servers.
     void startingInstancesAgreeOnALeader()
