--- a/packages/gateway/src/evacuationexchange.h
+++ b/packages/gateway/src/evacuationexchange.h
@@ -13,8 +13,8 @@
 /// Returns the orders of a message of a peer.
 std::vector<fleet::EvacuationOrder> evacuationsOf(const wire::GatewayMessageT &message);
 
-/// Removes the records of evacuations from \a records, and
-/// returns them. What remains is the configuration.
+/// Removes the records of evacuations from \a records and returns them. What remains is the
+/// configuration.
 std::vector<fleet::EvacuationOrder> takeEvacuations(const Adapter &adapter,
                                                     std::vector<StoredRecord> &records);
 
