Broker: Share the capacity of a service between organisations

Slots were granted by target only, so that an organisation got slots in proportion to the requests that it sent, and during an overload most requests were granted at the last moment and missed their target.

The leader now tracks the slot time of each organisation. One that is beyond its share by weight ranks behind the others of its priority and is refused first when the queue is full. Requests with an organisation count as in time with a wider margin, are refused at once if too much work precedes them, and do not take slots in which they would be late while others are in time. Their Retry-After is spread. Requests without an organisation are decided as before.

--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -178,6 +178,9 @@
     double factor = 1.0;
     /// Slowdown that the server reported at the start of the attempt; 0 if there was no report.
     double slowdown = 0;
+    OrganisationKey organisation = 0;
+    /// Slot time in seconds that the organisation was charged with at the start.
+    double chargedSeconds = 0;
 };
 
 /// An attempt whose connection ended before an answer.
@@ -264,6 +267,36 @@
     std::array<Slice, slices> window{};
 };
 
+/// Recent use of a service by one organisation.
+struct OrganisationUse
+{
+    /// Slot time in seconds as of the second value; it decays exponentially.
+    double seconds = 0;
+    TimePoint updated;
+    TimePoint lastRequest;
+    double weight = 0;
+};
+
+/// Use of a service by the organisations that sent requests lately.
+struct Sharing
+{
+    std::unordered_map<OrganisationKey, OrganisationUse> organisations;
+    /// Sum of OrganisationUse::seconds as of the second value.
+    double totalSeconds = 0;
+    TimePoint updated;
+    double totalWeight = 0;
+    TimePoint lastCleanup;
+};
+
+/// Expected work in seconds of the queued requests that can meet their target.
+struct QueuedWork
+{
+    double total = 0;
+    /// Work of the requests whose organisation is within its share.
+    double withinShare = 0;
+};
+inline constexpr std::size_t queuedWorkPriorities = 8;
+
 /// Slots and queue length of a service.
 struct ServiceLoad
 {
@@ -314,6 +347,11 @@
     /// Time of the last pass over the queue.
     TimePoint lastQueuePass;
     RetryBudget budget;
+    Sharing sharing;
+    /// Work of the queued requests by priority, as of the last pass and with those queued since.
+    /// The last element holds all less urgent priorities. Kept only while organisations share the
+    /// service.
+    std::array<QueuedWork, queuedWorkPriorities> queuedWork;
     /// Time since which this state has received the requests of all instances.
     TimePoint leadingSince;
     bool isLeading = false;
--- a/packages/broker/src/dispatch.cpp
+++ b/packages/broker/src/dispatch.cpp
@@ -4,6 +4,7 @@
 #include "crashes.h"
 #include "estimate.h"
 #include "serverranking.h"
+#include "sharing.h"
 
 #include <algorithm>
 #include <cmath>
@@ -17,6 +18,15 @@
 /// A queued request can meet its target while its expected duration times this factor ends before
 /// the target. Most attempts are answered within the margin.
 constexpr double targetMargin = 1.15;
+/// The same for requests of organisations, but no longer than the second value as a part of the
+/// objective. During an overload nearly every request gets its slot at the last moment at which it
+/// counts as able to meet its target, so that a narrow margin wastes the slots of those that take
+/// longer than the mean.
+constexpr double sharedTargetMargin = 2.0;
+constexpr double maxSharedMarginShare = 0.7;
+/// A request of an organisation gets no server on which its expected duration times this factor
+/// ends after the target while queued requests can meet theirs.
+constexpr double usefulGrantMargin = 1.3;
 /// A request that would miss its target waits for a full server if the cost after the wait is
 /// below this part of the cost on the best free server.
 constexpr double maxWaitCostRatio = 0.9;
@@ -30,6 +40,9 @@
 constexpr Duration attemptEndGrace = milliseconds(300);
 /// Limit of the queue length per slot.
 constexpr std::size_t maxQueuedPerSlot = 6;
+/// Additional length for requests of organisations within their share. The next pass over the queue
+/// refuses as many of other organisations.
+constexpr std::size_t reservedPerSlot = 1;
 /// Limit of queued requests per slot that can no longer meet their target. They are served when
 /// no other request is queued; more of them would only wait without being served.
 constexpr double maxLatePerSlot = 0.5;
@@ -66,6 +79,10 @@
     attempt.expires = request.deadline + attemptEndGrace;
     attempt.factor = choice.seconds / workSeconds(state, request.route, request.objective);
     attempt.slowdown = server.report ? server.report->slowdown : 0;
+    attempt.organisation = request.organisation;
+    attempt.chargedSeconds = choice.seconds;
+    if (request.organisation != 0)
+        addSlotTime(state.sharing, request.organisation, choice.seconds, now);
     server.activeAttempts.push_back(attempt);
     state.placements[request.key] = server.info.key;
     Decision decision;
@@ -89,6 +106,8 @@
     const bool isPaused = reason == RefusalReason::ServersPaused;
     decision.retryAfter =
         std::clamp(retryAfter, minRetryAfter, isPaused ? maxPausedRetryAfter : maxRetryAfter);
+    if (request.organisation != 0 && !isPaused)
+        decision.retryAfter = spreadRetryAfter(request.key, decision.retryAfter, maxRetryAfter);
     decision.slots = load.slots;
     decision.taken = load.taken;
     decision.waiting = static_cast<unsigned>(load.waiting);
@@ -120,7 +139,13 @@
     }
     bool canMeetTarget(const AttemptRequest &request, TimePoint now) const
     {
-        return now + toDuration(seconds(request) * targetMargin) < request.target;
+        const double expected = seconds(request);
+        double needed = expected * targetMargin;
+        if (request.organisation != 0)
+            needed = std::max(needed,
+                              std::min(expected * sharedTargetMargin,
+                                       toSeconds(request.objective) * maxSharedMarginShare));
+        return now + toDuration(needed) < request.target;
     }
 
 private:
@@ -144,7 +169,8 @@
     return static_cast<std::size_t>(std::ceil(maxLatePerSlot * slots));
 }
 
-/// Sorts requests that can still meet their target first, by priority and then by earliest target.
+/// Sorts requests that can still meet their target first, by priority, then those within the share
+/// of their organisation, then by earliest target.
 /// Late requests follow, by priority and then by latest deadline, because the request with the most
 /// time left is the likeliest to be answered before its deadline.
 void sortQueue(ServiceState &state, TimePoint now)
@@ -153,6 +179,7 @@
     {
         bool isLate;
         unsigned priority;
+        bool isBeyondShare;
         TimePoint::rep order;
         std::size_t index;
     };
@@ -165,11 +192,13 @@
         const bool isLate = !fullLoadWork.canMeetTarget(each, now);
         const auto order = isLate ? -each.deadline.time_since_epoch().count()
                                   : each.target.time_since_epoch().count();
-        ranks.push_back({isLate, each.priority, order, i});
+        const bool isBeyond =
+            !isLate && isBeyondShare(state.sharing, each, fullLoadWork.seconds(each), now);
+        ranks.push_back({isLate, each.priority, isBeyond, order, i});
     }
     std::sort(ranks.begin(), ranks.end(), [](const Rank &left, const Rank &right) {
-        return std::tie(left.isLate, left.priority, left.order, left.index)
-            < std::tie(right.isLate, right.priority, right.order, right.index);
+        return std::tie(left.isLate, left.priority, left.isBeyondShare, left.order, left.index)
+            < std::tie(right.isLate, right.priority, right.isBeyondShare, right.order, right.index);
     });
     std::vector<AttemptRequest> sorted;
     sorted.reserve(state.queue.size());
@@ -178,6 +207,91 @@
     state.queue = std::move(sorted);
 }
 
+std::size_t queuedWorkIndex(const AttemptRequest &request)
+{
+    return std::min<std::size_t>(request.priority, queuedWorkPriorities - 1);
+}
+
+/// Adds a queued request to the work that precedes others, if it can meet its target.
+void addQueuedWork(ServiceState &state, const FullLoadWork &fullLoadWork,
+                   const AttemptRequest &request, TimePoint now)
+{
+    if (!fullLoadWork.canMeetTarget(request, now))
+        return;
+    const double seconds = fullLoadWork.seconds(request);
+    const bool isBeyond = isBeyondShare(state.sharing, request, seconds, now);
+    QueuedWork &work = state.queuedWork[queuedWorkIndex(request)];
+    work.total += seconds;
+    work.withinShare += isBeyond ? 0 : seconds;
+}
+
+void updateQueuedWork(ServiceState &state, TimePoint now)
+{
+    state.queuedWork = {};
+    state.examinedEntries += state.queue.size();
+    const FullLoadWork fullLoadWork(state);
+    for (const AttemptRequest &each : state.queue)
+        addQueuedWork(state, fullLoadWork, each, now);
+}
+
+/// Returns the work in seconds of the queued requests that are served before \a request.
+double workBefore(const ServiceState &state, const AttemptRequest &request, bool isBeyond)
+{
+    if (state.queue.empty())
+        return 0;
+    const std::size_t index = queuedWorkIndex(request);
+    const QueuedWork &same = state.queuedWork[index];
+    double work = isBeyond ? same.total : same.withinShare;
+    for (std::size_t i = 0; i < index; ++i)
+        work += state.queuedWork[i].total;
+    return work;
+}
+
+bool hasQueuedWork(const ServiceState &state)
+{
+    return !state.queue.empty()
+        && std::any_of(state.queuedWork.begin(), state.queuedWork.end(),
+                       [](const QueuedWork &each) { return each.total > 0; });
+}
+
+/// Returns true if a new request of an organisation will miss its target in the queue, because too
+/// much work precedes it. Such a request would take a slot from one that can meet its target, and
+/// its caller can use the time for a retry. If nothing precedes it, it may wait although it is
+/// late.
+bool wouldQueueTooLong(const ServiceState &state, const AttemptRequest &request, bool isBeyond,
+                       unsigned slots, TimePoint now)
+{
+    if (request.organisation == 0)
+        return false;
+    const double before = workBefore(state, request, isBeyond);
+    return before > 0
+        && !FullLoadWork(state).canMeetTarget(request,
+                                              now + toDuration(before / std::max(1U, slots)));
+}
+
+/// Refuses requests of organisations beyond their share, the last ones first, while the queue is
+/// longer than its limit.
+template <typename Refuse>
+void shortenQueue(ServiceState &state, std::size_t limit, TimePoint now, const Refuse &refuseQueued)
+{
+    if (state.queue.size() <= limit)
+        return;
+    const FullLoadWork fullLoadWork(state);
+    std::size_t excess = state.queue.size() - limit;
+    std::vector<AttemptRequest> kept;
+    for (auto each = state.queue.rbegin(); each != state.queue.rend(); ++each) {
+        ++state.examinedEntries;
+        if (excess > 0 && isBeyondShare(state.sharing, *each, fullLoadWork.seconds(*each), now)) {
+            --excess;
+            refuseQueued(*each);
+        } else {
+            kept.push_back(*each);
+        }
+    }
+    std::reverse(kept.begin(), kept.end());
+    state.queue = std::move(kept);
+}
+
 std::optional<Decision> tryGrant(ServiceState &state, ServerRanking &ranking,
                                  const AttemptRequest &request, TimePoint now)
 {
@@ -185,6 +299,9 @@
     const auto choice = ranking.cheapestFree(request, work);
     if (!choice)
         return std::nullopt;
+    if (request.organisation != 0 && hasQueuedWork(state)
+        && now + toDuration(choice->seconds * usefulGrantMargin) > request.target)
+        return std::nullopt;
     if (now + toDuration(choice->seconds) > request.target) {
         const double costAfterWait = ranking.lowestCostAfterWait(request, work);
         const bool wouldMeetTarget = now + toDuration(costAfterWait) < request.target;
@@ -294,6 +411,7 @@
         return refuse(request, RefusalReason::Quarantined, maxRetryAfter, state.lastLoad);
     if (request.isHedge)
         return requestHedge(state, request, now);
+    recordDemand(state.sharing, request, now);
     if (request.earlierAttempts == 0)
         countRequest(state.budget, state.policy, now);
     // While requests are queued, the last pass over the queue tells the load.
@@ -324,8 +442,18 @@
             return *decision;
     }
     state.delayedColdStarts += load.delayedColdServers > 0 ? 1 : 0;
-    if (!canWait || (!hasOnlyColdServers && state.queue.size() >= maxQueuedPerSlot * slots))
+    const FullLoadWork fullLoadWork(state);
+    const bool isBeyond = isBeyondShare(state.sharing, request, fullLoadWork.seconds(request), now);
+    // A single organisation must leave the reserve to the next one, whose request makes it exceed
+    // its share.
+    const bool hasReserve =
+        request.organisation != 0 && !isBeyond && state.sharing.organisations.size() > 1;
+    const std::size_t maxQueued = (maxQueuedPerSlot + (hasReserve ? reservedPerSlot : 0)) * slots;
+    if (!canWait || (!hasOnlyColdServers && state.queue.size() >= maxQueued)
+        || wouldQueueTooLong(state, request, isBeyond, slots, now))
         return refuse(request, RefusalReason::QueueFull, queueDrainTime(state, slots), load);
+    if (!state.sharing.organisations.empty())
+        addQueuedWork(state, fullLoadWork, request, now);
     state.queue.push_back(request);
     state.placements[request.key] = queuedPlacement;
     Decision decision;
@@ -386,6 +514,13 @@
             waiting.push_back(each);
     }
     state.queue = std::move(waiting);
+    if (state.sharing.organisations.empty())
+        return decisions;
+    if (load.slots > load.readyColdServers)
+        shortenQueue(state, maxQueuedPerSlot * load.slots, now, [&](const AttemptRequest &each) {
+            refuseQueued(each, RefusalReason::QueueFull, timeToDrain);
+        });
+    updateQueuedWork(state, now);
     return decisions;
 }
 
--- a/packages/broker/src/service.cpp
+++ b/packages/broker/src/service.cpp
@@ -3,6 +3,7 @@
 #include "coldstart.h"
 #include "crashes.h"
 #include "estimate.h"
+#include "sharing.h"
 
 #include <algorithm>
 
@@ -54,6 +55,15 @@
     return attempt;
 }
 
+/// Replaces the expected slot time of an attempt by the one that it took.
+void correctSlotTime(ServiceState &state, const ActiveAttempt &attempt, Duration duration,
+                     TimePoint now)
+{
+    if (attempt.organisation != 0)
+        addSlotTime(state.sharing, attempt.organisation,
+                    toSeconds(duration) - attempt.chargedSeconds, now);
+}
+
 } // namespace
 
 void setServers(ServiceState &state, const std::vector<ServerInfo> &servers)
@@ -132,6 +142,8 @@
         return;
     ServerState &server = found->second;
     const std::optional<ActiveAttempt> attempt = removeAttempt(state, server, end.key);
+    if (attempt)
+        correctSlotTime(state, *attempt, end.duration, now);
     if (end.pause > Duration(0))
         recordPause(state, end.key.instance, {end.server, now + end.pause}, now);
     if (end.load) {
@@ -187,8 +199,10 @@
     if (placement == state.placements.end())
         return;
     const auto server = state.servers.find(placement->second);
-    if (server != state.servers.end())
-        removeAttempt(state, server->second, end.key);
+    if (server == state.servers.end())
+        return;
+    if (const auto attempt = removeAttempt(state, server->second, end.key))
+        correctSlotTime(state, *attempt, {}, now);
 }
 
 Duration probeInterval(const ServiceState &state)
--- a/packages/broker/tests/overloadtest.cpp
+++ b/packages/broker/tests/overloadtest.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 
 using namespace apricotrock;
 using namespace apricotrock::broker;
@@ -63,7 +64,8 @@
 class OverloadSimulation
 {
 public:
-    explicit OverloadSimulation(unsigned servers) : m_servers(servers + 1)
+    explicit OverloadSimulation(unsigned servers, Duration timeout = routeTimeout)
+        : m_servers(servers + 1), m_timeout(timeout)
     {
         for (std::size_t i = 0; i <= senderCount; ++i) {
             ServiceState &state = i == 0 ? m_leader.state : m_senders.emplace_back().state;
@@ -75,15 +77,22 @@
     }
 
     /// Adds requests at \a rate per second from \a begin to \a end.
-    void addLoad(double rate, TimePoint begin, TimePoint end)
+    void addLoad(double rate, TimePoint begin, TimePoint end, OrganisationKey organisation = 0,
+                 double weight = 0)
     {
         std::exponential_distribution<double> gap(rate);
         const auto next = [&] { return std::chrono::duration<double>(gap(m_random)); };
         for (TimePoint at = begin; at < end; at += std::chrono::duration_cast<Duration>(next())) {
-            m_events.emplace(at, [this] { startCall(); });
+            m_events.emplace(at, [this, organisation, weight] { startCall(organisation, weight); });
         }
     }
 
+    /// The work of the requests differs, with this standard deviation of its logarithm.
+    void setWorkSpread(double spread) { m_workSpread = spread; }
+
+    /// Sends requests without their organisation, as in a deployment that has none.
+    void hideOrganisations() { m_isShared = false; }
+
     /// Every server rejects \a share of its requests from \a begin to \a end, although it has room.
     void addShedding(double share, TimePoint begin, TimePoint end)
     {
@@ -106,19 +115,37 @@
     }
 
     /// Returns the share of the calls started in a period that were answered within the objective.
-    [[nodiscard]] double shareInTime(TimePoint begin, TimePoint end) const
+    [[nodiscard]] double shareInTime(TimePoint begin, TimePoint end,
+                                     const std::set<OrganisationKey> &organisations = {}) const
     {
         double calls = 0;
         double inTime = 0;
         for (const Call &call : m_calls) {
             if (call.started < begin || call.started >= end)
                 continue;
+            if (!organisations.empty() && !organisations.contains(call.organisation))
+                continue;
             ++calls;
             inTime += call.answered && *call.answered - call.started <= objective ? 1 : 0;
         }
         return inTime / calls;
     }
 
+    /// Returns the answered calls of an organisation that were started in a period.
+    [[nodiscard]] double shareAnswered(TimePoint begin, TimePoint end,
+                                       OrganisationKey organisation) const
+    {
+        double calls = 0;
+        double answered = 0;
+        for (const Call &call : m_calls) {
+            if (call.started < begin || call.started >= end || call.organisation != organisation)
+                continue;
+            ++calls;
+            answered += call.answered ? 1 : 0;
+        }
+        return calls == 0 ? 1.0 : answered / calls;
+    }
+
     /// Returns the share of the calls started in a period that were refused because of the queue.
     [[nodiscard]] double shareRefusedByQueue(TimePoint begin, TimePoint end) const
     {
@@ -159,6 +186,8 @@
         bool isRefusedByQueue = false;
         unsigned attempts = 0;
         std::array<ServerKey, maxExcludedServers> excluded{};
+        OrganisationKey organisation = 0;
+        double weight = 0;
     };
     struct Attempt
     {
@@ -265,12 +294,23 @@
                 isSlow(key) ? slowdownOfSlow : 1.0};
     }
 
-    void startCall()
+    AttemptRequest makeRequest(std::size_t ticket)
+    {
+        const Call &call = m_calls[ticket];
+        AttemptRequest request = ::makeRequest(ticket, call.started);
+        request.deadline = call.started + m_timeout;
+        request.organisation = m_isShared ? call.organisation : 0;
+        request.weight = call.weight;
+        return request;
+    }
+
+    void startCall(OrganisationKey organisation, double weight)
     {
         const std::size_t ticket = m_calls.size();
         m_calls.push_back({m_now, {}});
-        m_calls[ticket].attempts = 0;
-        sendRequest(makeRequest(ticket, m_now));
+        m_calls[ticket].organisation = organisation;
+        m_calls[ticket].weight = weight;
+        sendRequest(makeRequest(ticket));
     }
 
     void sendRequest(const AttemptRequest &request)
@@ -327,7 +367,7 @@
         Call &call = m_calls[decision.key.ticket];
         if (call.attempts >= maxAttemptsPerCall)
             return;
-        AttemptRequest request = makeRequest(decision.key.ticket, call.started);
+        AttemptRequest request = makeRequest(decision.key.ticket);
         request.earlierAttempts = call.attempts;
         request.excluded = call.excluded;
         call.isDecided = call.isQueued = call.isFallback = false;
@@ -358,12 +398,21 @@
             runNext(server);
     }
 
+    /// Returns a factor of the work of one request, with a mean of 1.
+    double workFactor()
+    {
+        if (m_workSpread == 0)
+            return 1.0;
+        const double mean = -m_workSpread * m_workSpread / 2;
+        return std::lognormal_distribution<double>(mean, m_workSpread)(m_random);
+    }
+
     void runNext(Server &server)
     {
         while (!server.waiting.empty()) {
             const Attempt attempt = server.waiting.front();
             server.waiting.pop_front();
-            const TimePoint deadline = m_calls[attempt.decision.key.ticket].started + routeTimeout;
+            const TimePoint deadline = m_calls[attempt.decision.key.ticket].started + m_timeout;
             if (m_now >= deadline) {
                 finishAttempt(attempt, AttemptOutcome::TimedOut);
                 continue;
@@ -371,7 +420,8 @@
             ++server.running;
             const double factor = loadOf(attempt.decision.server).slowdown
                 * (server.running >= slotsPerServer ? fullServerFactor : 1.0);
-            const auto duration = std::chrono::duration_cast<Duration>(workTime * factor);
+            const auto duration =
+                std::chrono::duration_cast<Duration>(workTime * factor * workFactor());
             const bool isTimedOut = m_now + duration > deadline;
             after(std::min(duration, deadline - m_now), [this, &server, attempt, isTimedOut] {
                 finishAttempt(attempt,
@@ -413,6 +463,9 @@
     Decider m_leader;
     std::deque<Decider> m_senders;
     std::vector<Server> m_servers;
+    Duration m_timeout;
+    bool m_isShared = true;
+    double m_workSpread = 0;
     std::vector<Call> m_calls;
     std::deque<Handler> m_leaderInput;
     bool m_isLeaderBusy = false;
@@ -423,6 +476,57 @@
     Duration m_longestWaitBesideFree{};
 };
 
+constexpr unsigned sharedServers = 50;
+constexpr Duration sharedTimeout = 10s;
+constexpr OrganisationKey organisationCount = 81;
+/// The largest organisation, which sends a quarter of all requests.
+constexpr OrganisationKey largest = 1;
+/// Ratio of the weight of an organisation to its usual rate.
+constexpr double weightPerRate = 1.6;
+constexpr double burstFactor = 6.5;
+constexpr double increase = 1.8;
+/// Least ratio of the requests in time to those without organisations.
+constexpr double minGain = 1.1;
+constexpr Duration overloadLength = 6s;
+constexpr TimePoint overload = OverloadSimulation::start + 4s;
+constexpr TimePoint overloadEnd = overload + overloadLength;
+
+std::set<OrganisationKey> otherOrganisations()
+{
+    std::set<OrganisationKey> others;
+    for (OrganisationKey each = 1; each <= organisationCount; ++each)
+        if (each != largest)
+            others.insert(each);
+    return others;
+}
+
+/// Returns the part of all requests that an organisation usually sends; the largest of the others
+/// sends 40 times as much as the smallest.
+double usualPart(OrganisationKey organisation)
+{
+    if (organisation == largest)
+        return 0.25;
+    double sum = 0;
+    for (const OrganisationKey each : otherOrganisations())
+        sum += 1.0 / static_cast<double>(each);
+    return 0.75 / static_cast<double>(organisation) / sum;
+}
+
+/// Runs 4 s of usual load, then 6 s in which the largest organisation sends \a factorOfLargest
+/// times its usual rate and the others \a factorOfOthers times.
+void runShared(OverloadSimulation &simulation, double factorOfLargest, double factorOfOthers)
+{
+    simulation.setWorkSpread(0.5);
+    for (OrganisationKey each = 1; each <= organisationCount; ++each) {
+        const double rate = sharedServers * calmRatePerServer * usualPart(each);
+        const double factor = each == largest ? factorOfLargest : factorOfOthers;
+        const double weight = rate * weightPerRate;
+        simulation.addLoad(rate, OverloadSimulation::start, overload, each, weight);
+        simulation.addLoad(rate * factor, overload, overloadEnd, each, weight);
+    }
+    simulation.runUntil(overloadEnd + sharedTimeout);
+}
+
 } // namespace
 
 class OverloadTest : public CppUnit::TestFixture
@@ -432,6 +536,8 @@
     CPPUNIT_TEST(workEstimateDoesNotDriftInABurst);
     CPPUNIT_TEST(costOfAPassIsNotQueueTimesServers);
     CPPUNIT_TEST(freeSlotsAreUsedWhileAllServersShed);
+    CPPUNIT_TEST(burstOfOneOrganisationLeavesTheOthersTheirShare);
+    CPPUNIT_TEST(equalIncreaseCutsAllOrganisationsAlike);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -497,6 +603,43 @@
         }
     }
 
+    // Pattern: one organisation sends 6.5 times its usual rate. Guards against its requests taking
+    // the slots of the others, and against answering most requests after their target.
+    void burstOfOneOrganisationLeavesTheOthersTheirShare()
+    {
+        OverloadSimulation calm(sharedServers, sharedTimeout);
+        runShared(calm, 1, 1);
+        OverloadSimulation unshared(sharedServers, sharedTimeout);
+        unshared.hideOrganisations();
+        runShared(unshared, burstFactor, 1);
+        OverloadSimulation shared(sharedServers, sharedTimeout);
+        runShared(shared, burstFactor, 1);
+        const double inTime = shared.shareInTime(overload, overloadEnd);
+        CPPUNIT_ASSERT_GREATEREQUAL(minGain * unshared.shareInTime(overload, overloadEnd), inTime);
+        const auto others = otherOrganisations();
+        CPPUNIT_ASSERT_GREATEREQUAL(0.9 * calm.shareInTime(overload, overloadEnd, others),
+                                    shared.shareInTime(overload, overloadEnd, others));
+        for (OrganisationKey each = 1; each <= organisationCount; ++each)
+            CPPUNIT_ASSERT_GREATEREQUAL(0.25 * inTime,
+                                        shared.shareInTime(overload, overloadEnd, {each}));
+    }
+
+    // Guards against shares that do not follow the weights when all organisations send more, and
+    // against giving up capacity for the sake of the order.
+    void equalIncreaseCutsAllOrganisationsAlike()
+    {
+        OverloadSimulation unshared(sharedServers, sharedTimeout);
+        unshared.hideOrganisations();
+        runShared(unshared, increase, increase);
+        OverloadSimulation shared(sharedServers, sharedTimeout);
+        runShared(shared, increase, increase);
+        const double inTime = shared.shareInTime(overload, overloadEnd);
+        CPPUNIT_ASSERT_GREATEREQUAL(minGain * unshared.shareInTime(overload, overloadEnd), inTime);
+        const double ofLargest = shared.shareInTime(overload, overloadEnd, {largest});
+        const double ofOthers = shared.shareInTime(overload, overloadEnd, otherOrganisations());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(ofOthers, ofLargest, 0.1 * inTime);
+    }
+
     // Guards against passes over the queue that look at every server for every queued request.
     void costOfAPassIsNotQueueTimesServers()
     {
