Fleet: Report obsolete records before the store is restored, too

Instances now always tell those that join which records of removed and draining servers are obsolete; the marks take effect once the store has been restored.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -213,8 +213,9 @@
     /// process, unless they say draining and then ready; the second ends with a record that has a
     /// higher sequence number. Returns the change if the server was usable until now.
     std::optional<Change> markLeaving(const LeavingServer &leaving, TimePoint now);
-    /// Returns the processes that said that they leave while their record still says ready. After
-    /// the store has been restored from a copy, also those that were removed or are draining.
+    /// Returns the processes that said that they leave while their record still says ready,
+    /// and the last records of those that were removed or are draining. The latter take effect at
+    /// an instance after the store has been restored from a copy.
     [[nodiscard]] std::vector<LeavingServer> leavingServers() const;
     /// Records that all records before \a position have been merged.
     void advanceTo(StorePosition position);
@@ -239,7 +240,7 @@
         std::uint64_t processStartMs = 0;
         std::uint64_t sequence = 0;
         TimePoint recordedAt;
-        /// Another instance reported it, which happens only after a restore of the store.
+        /// Another instance reported it.
         bool isFromPeer = false;
     };
 
@@ -247,6 +248,8 @@
     std::optional<Change> mergeEntry(const ServerRecord &record, TimePoint now);
     std::optional<Change> mergeRemoval(const ServerRecord &record, TimePoint now);
     std::optional<Change> markObsolete(const LeavingServer &leaving, TimePoint now);
+    /// Excludes a usable server whose record comes from the copy and is obsolete.
+    std::optional<Change> excludeObsolete(KnownServer &server);
     void recordObsolete(const std::string &id, const ObsoleteRecords &obsolete);
     [[nodiscard]] bool isObsolete(const ServerEntry &entry) const;
     [[nodiscard]] bool hasEntry(const std::string &id) const;
--- a/packages/fleet/src/serverdirectory.cpp
+++ b/packages/fleet/src/serverdirectory.cpp
@@ -110,10 +110,10 @@
     if (!accepts(record)) {
         // Later records of this era are compared with the position of the obsolete one.
         const auto found = m_servers.find(record.id);
-        if (found != m_servers.end())
-            found->second.record.position =
-                std::max(found->second.record.position, record.position);
-        return std::nullopt;
+        if (found == m_servers.end())
+            return std::nullopt;
+        found->second.record.position = std::max(found->second.record.position, record.position);
+        return excludeObsolete(found->second);
     }
     return record.entry ? mergeEntry(record, now) : mergeRemoval(record, now);
 }
@@ -139,12 +139,14 @@
     const auto obsolete = m_obsolete.find(record.id);
     // Before the first restore, the position alone shows that the record is newer.
     if (position.era == 0 && record.entry->phase == ServerPhase::Ready
-        && obsolete != m_obsolete.end() && !obsolete->second.isFromPeer)
+        && obsolete != m_obsolete.end()
+        && (!obsolete->second.isFromPeer || !isObsolete(*record.entry)))
         m_obsolete.erase(obsolete);
     if (record.entry->phase == ServerPhase::Draining)
         recordObsolete(record.id,
                        {record.entry->processStartMs, record.entry->sequence, now, false});
-    server.isLeaving = m_leaving.contains(record.id) || isObsolete(*record.entry);
+    server.isLeaving =
+        m_leaving.contains(record.id) || (position.era > 0 && isObsolete(*record.entry));
     if (!before || before->processStartMs != record.entry->processStartMs
         || record.entry->slowStartRemaining > Duration::zero())
         server.slowStartUntil = now + record.entry->slowStartRemaining;
@@ -204,10 +206,16 @@
     if (isKnown && found->second.entry->processStartMs > leaving.processStartMs)
         return std::nullopt;
     recordObsolete(leaving.id, {leaving.processStartMs, leaving.obsoleteSequence, now, true});
-    if (!isKnown || !isUsable(found->second) || !isObsolete(*found->second.entry))
+    return isKnown ? excludeObsolete(found->second) : std::nullopt;
+}
+
+std::optional<ServerDirectory::Change> ServerDirectory::excludeObsolete(KnownServer &server)
+{
+    // Before the first restore, the position alone shows that the record is newer.
+    if (server.record.position.era == 0 || !isUsable(server) || !isObsolete(*server.entry))
         return std::nullopt;
-    found->second.isLeaving = true;
-    return Change{leaving.id, "obsolete", found->second.record.position};
+    server.isLeaving = true;
+    return Change{server.record.id, "obsolete", server.record.position};
 }
 
 std::optional<ServerDirectory::Change> ServerDirectory::markLeaving(const LeavingServer &leaving,
@@ -247,8 +255,6 @@
         if (isReady || found == m_servers.end())
             leaving.push_back({id, start, 0});
     }
-    if (m_position.era == 0)
-        return leaving;
     for (const auto &[id, obsolete] : m_obsolete) {
         const auto found = m_servers.find(id);
         // A server in its grace period is expected to register again.
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -394,15 +394,13 @@
             updates.push_back(record);
     }
     packUpdates(updates, message);
-    if (state().store_era() > 0) {
-        // The receiver may have read records from the copy that are obsolete.
-        for (const fleet::LeavingServer &each : m_context.servers.leavingServers()) {
-            auto leaving = std::make_unique<wire::LeavingServerT>();
-            leaving->id = each.id;
-            leaving->process_start_ms = each.processStartMs;
-            leaving->obsolete_sequence = each.obsoleteSequence;
-            message.leaving.push_back(std::move(leaving));
-        }
+    // The receiver may read records from a copy that are obsolete.
+    for (const fleet::LeavingServer &each : m_context.servers.leavingServers()) {
+        auto leaving = std::make_unique<wire::LeavingServerT>();
+        leaving->id = each.id;
+        leaving->process_start_ms = each.processStartMs;
+        leaving->obsolete_sequence = each.obsoleteSequence;
+        message.leaving.push_back(std::move(leaving));
     }
     flatbuffers::FlatBufferBuilder builder(4096);
     builder.Finish(wire::GatewayMessage::Pack(builder, &message), wire::GatewayMessageIdentifier());
