Quota: Leave the tokens of an organisation at its quota to requests in time

Cause: callers that come back after a 429 took tokens that as many requests within their target asked for, and were answered late. Change: requests that can't meet their target get only tokens beyond a reserve while the organisation is at its quota. Only the two owners log a change of owner. Result: quota_test and gateway_test pass; the new test fails without the reserve.

--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -34,6 +34,10 @@
 /// No attempt is started with less time than this before the deadline.
 constexpr Duration minAttemptTime = milliseconds(10);
 
+/// A request with less than this part of its latency target left can't meet it: the work takes
+/// about as long.
+constexpr double minTimeForWork = 0.4;
+
 std::string_view deciderName(DecidedBy by)
 {
     switch (by) {
@@ -137,8 +141,9 @@
 {
     // The callback may run before requestToken() returns.
     auto isAnswered = std::make_shared<bool>(false);
+    const bool isLate = m_plan.target - m_plan.arrived < m_plan.objective * minTimeForWork;
     const std::uint64_t ticket = m_path.m_quotaAllocator.requestToken(
-        m_plan.organisation,
+        m_plan.organisation, isLate ? quota::Timeliness::Late : quota::Timeliness::InTime,
         [self = shared_from_this(), isAnswered](const QuotaDecision &decision) {
             *isAnswered = true;
             self->m_pendingToken.reset();
--- a/packages/gateway/src/quotaallocator.cpp
+++ b/packages/gateway/src/quotaallocator.cpp
@@ -140,7 +140,10 @@
     std::string owner = m_environment.ownerOf(organisation.role, now);
     updateStanding(organisation, owner == m_environment.ip, now);
     if (owner != organisation.owner) {
-        if (!organisation.owner.empty() && m_environment.ownerChanged)
+        // Every instance sees the change; the two owners are enough to explain it.
+        const bool concernsSelf =
+            owner == m_environment.ip || organisation.owner == m_environment.ip;
+        if (!organisation.owner.empty() && concernsSelf && m_environment.ownerChanged)
             m_environment.ownerChanged(organisation.name, owner, organisation.owner);
         organisation.owner = owner;
     }
@@ -204,7 +207,8 @@
     }
 }
 
-std::uint64_t QuotaAllocator::requestToken(const std::string &organisation, Callback callback)
+std::uint64_t QuotaAllocator::requestToken(const std::string &organisation,
+                                           quota::Timeliness timeliness, Callback callback)
 {
     const TimePoint now = m_environment.now();
     detectPause(now);
@@ -218,6 +222,7 @@
     }
     PendingRequest &pending = m_pendingRequests[ticket];
     pending.organisation = key;
+    pending.timeliness = timeliness;
     pending.callback = std::move(callback);
     if (now < known->holdOffUntil) {
         QuotaDecision decision;
@@ -250,7 +255,8 @@
         decideLocally(ticket, *organisation);
         return;
     }
-    const quota::Answer answer = quota::takeToken(organisation->budget, random(), now);
+    const quota::Answer answer =
+        quota::takeToken(organisation->budget, pending.timeliness, random(), now);
     QuotaDecision decision = grantedBy(ticket, *organisation, m_environment.ip);
     decision.verdict = answer.verdict;
     decision.retryAfter = answer.retryAfter;
@@ -260,7 +266,8 @@
 void QuotaAllocator::send(std::uint64_t ticket, PendingRequest &pending)
 {
     m_sender.sendQuotaRequest(pending.owner,
-                              {ticket, pending.organisation, m_configurationVersion});
+                              {ticket, pending.organisation, m_configurationVersion,
+                               pending.timeliness == quota::Timeliness::Late});
     pending.timer =
         m_environment.callAfter(pending.isRepeated ? requestTimeout - repeatTime : repeatTime,
                                 [this, ticket] { handleTimer(ticket); });
@@ -398,7 +405,9 @@
         answer = *earlier;
     } else if (organisation) {
         findOwner(*organisation, now);
-        answer = quota::takeToken(organisation->budget, random(), now);
+        const auto timeliness =
+            request.is_late() ? quota::Timeliness::Late : quota::Timeliness::InTime;
+        answer = quota::takeToken(organisation->budget, timeliness, random(), now);
         m_tickets.add(ticket, answer, now);
     } else if (m_configurationVersion <= request.configuration_version()) {
         // Not remembered: this instance may get the sender's version before a repetition.
--- a/packages/gateway/src/quotaallocator.h
+++ b/packages/gateway/src/quotaallocator.h
@@ -81,7 +81,8 @@
 
     /// Requests a token. \a callback is called once, possibly before this function returns.
     /// Returns the ticket for cancel().
-    std::uint64_t requestToken(const std::string &organisation, Callback callback);
+    std::uint64_t requestToken(const std::string &organisation, quota::Timeliness timeliness,
+                               Callback callback);
     /// Withdraws a pending request. Its callback is not called.
     void cancel(std::uint64_t ticket);
     /// Returns the token of a request that was not sent to any backend server.
@@ -114,6 +115,7 @@
     struct PendingRequest
     {
         std::uint64_t organisation = 0;
+        quota::Timeliness timeliness = quota::Timeliness::InTime;
         Callback callback;
         std::string owner;
         std::uint64_t timer = 0;
--- a/packages/gateway/tests/quotaallocatortest.cpp
+++ b/packages/gateway/tests/quotaallocatortest.cpp
@@ -313,7 +313,8 @@
         }
         runAt(node, m_now, [this, &load, &node, repeats] {
             node.allocator->requestToken(
-                load.name, [this, &load, repeats](const QuotaDecision &decision) {
+                load.name, quota::Timeliness::InTime,
+                [this, &load, repeats](const QuotaDecision &decision) {
                     ++load.answered;
                     if (decision.verdict == quota::Verdict::Granted)
                         load.granted.push_back(m_now - m_start);
@@ -597,17 +598,19 @@
             fleet.at(1s + i * 10ms, [&fleet] {
                 auto &allocator = *fleet.nodes()[19]->allocator;
                 allocator.cancel(allocator.requestToken(
-                    "idle", [](const QuotaDecision &) { CPPUNIT_FAIL("callback after cancel"); }));
+                    "idle", quota::Timeliness::InTime,
+                    [](const QuotaDecision &) { CPPUNIT_FAIL("callback after cancel"); }));
             });
         }
         for (int i = 0; i < 40; ++i) {
             fleet.at(2s + i * 10ms, [&fleet, &granted] {
                 auto &allocator = *fleet.nodes()[18]->allocator;
-                allocator.requestToken("idle", [&](const QuotaDecision &decision) {
-                    granted += decision.verdict == quota::Verdict::Granted ? 1 : 0;
-                    if (decision.verdict == quota::Verdict::Granted && granted < 20)
-                        allocator.returnToken(decision.token);
-                });
+                allocator.requestToken(
+                    "idle", quota::Timeliness::InTime, [&](const QuotaDecision &decision) {
+                        granted += decision.verdict == quota::Verdict::Granted ? 1 : 0;
+                        if (decision.verdict == quota::Verdict::Granted && granted < 20)
+                            allocator.returnToken(decision.token);
+                    });
             });
         }
         fleet.run(3s);
@@ -624,7 +627,8 @@
             Fleet::Node &owner = fleet.ownerOf("new");
             owner.allocator->setOrganisations({}, 0);
             fleet.nodes()[19]->allocator->requestToken(
-                "new", [&](const QuotaDecision &each) { verdicts.push_back(each.verdict); });
+                "new", quota::Timeliness::InTime,
+                [&](const QuotaDecision &each) { verdicts.push_back(each.verdict); });
         });
         fleet.run(2s);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), verdicts.size());
--- a/packages/quota/include/apricotrock/quota.h
+++ b/packages/quota/include/apricotrock/quota.h
@@ -84,8 +84,14 @@
 /// Returns a bucket with the start level, of a stand-in.
 Budget makeBudget(const Limit &limit, const Bounds &bounds, TimePoint now);
 
-/// Takes a token or refuses the request. \a random is uniform in [0, 1); it spreads Retry-After.
-Answer takeToken(Budget &budget, double random, TimePoint now);
+/// Whether a request can still be answered within its latency target.
+enum class Timeliness : std::uint8_t { InTime, Late };
+
+/// Takes a token or refuses the request. While the organisation is at its quota, late requests get
+/// only tokens beyond a reserve for those in time: callers that come back after a refusal would
+/// otherwise use up the tokens, and most answers would be late. \a random is uniform in [0, 1); it
+/// spreads Retry-After.
+Answer takeToken(Budget &budget, Timeliness timeliness, double random, TimePoint now);
 /// Takes back the token of a request that was not sent.
 void giveBack(Budget &budget, TimePoint now);
 /// Applies a changed quota. The level is cut to the new capacity.
--- a/packages/quota/src/budget.cpp
+++ b/packages/quota/src/budget.cpp
@@ -15,6 +15,8 @@
 constexpr Duration maxHoldOff = milliseconds(50);
 /// Refusals are counted with this decay time.
 constexpr Seconds refusalMemory{1};
+/// Time in which the tokens are refilled that late requests leave for those in time.
+constexpr Seconds lateReserveTime{0.1};
 /// A displaced owner and the next one grant tokens at the same time until all instances know the
 /// next one, which takes about 1 s. Its lower rate keeps both within the bound, and suffices for
 /// an organisation at its usual rate, because a part of the instances asks the next one.
@@ -77,10 +79,27 @@
         budget.settlingUntil = now + settlingTime;
 }
 
-double countRefusal(Budget &budget, TimePoint now)
+double recentRefusals(const Budget &budget, TimePoint now)
 {
     const double age = secondsBetween(budget.refusalsUpdated, now);
-    budget.refusals = budget.refusals * std::exp(-age / refusalMemory.count()) + 1;
+    return budget.refusals * std::exp(-age / refusalMemory.count());
+}
+
+bool isAtLimit(const Budget &budget, TimePoint now)
+{
+    return recentRefusals(budget, now) >= 1;
+}
+
+/// Leaves at least one token of the capacity to late requests, so that they are served when nobody
+/// else asks.
+double lateReserve(const Budget &budget)
+{
+    return std::min(capacityOf(budget) - 1, refillRate(budget) * lateReserveTime.count());
+}
+
+double countRefusal(Budget &budget, TimePoint now)
+{
+    budget.refusals = recentRefusals(budget, now) + 1;
     budget.refusalsUpdated = now;
     return budget.refusals;
 }
@@ -105,13 +124,15 @@
     return budget;
 }
 
-Answer takeToken(Budget &budget, double random, TimePoint now)
+Answer takeToken(Budget &budget, Timeliness timeliness, double random, TimePoint now)
 {
     refill(budget, now);
     if (budget.standing == Standing::StandIn)
         beginSettling(budget, now);
     budget.lastAsked = now;
-    if (budget.level >= 1) {
+    const double reserve =
+        timeliness == Timeliness::Late && isAtLimit(budget, now) ? lateReserve(budget) : 0;
+    if (budget.level >= 1 + reserve) {
         budget.level -= 1;
         return {};
     }
--- a/packages/quota/tests/budgettest.cpp
+++ b/packages/quota/tests/budgettest.cpp
@@ -24,7 +24,7 @@
 int drain(Budget &budget, TimePoint now)
 {
     int count = 0;
-    while (takeToken(budget, 0.5, now).verdict == Verdict::Granted)
+    while (takeToken(budget, Timeliness::InTime, 0.5, now).verdict == Verdict::Granted)
         ++count;
     return count;
 }
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(localBucketStartsEmpty);
     CPPUNIT_TEST(repeatedTicketHasOneAnswer);
     CPPUNIT_TEST(ticketMemoryIsBounded);
+    CPPUNIT_TEST(lateRequestsLeaveTokensToOthersAtTheQuota);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,21 +117,21 @@
         Budget budget = makeOwner();
         drain(budget, start);
         for (int i = 0; i < 80; ++i)
-            takeToken(budget, 0, start);
-        CPPUNIT_ASSERT(takeToken(budget, 0, start).retryAfter == 50ms);
-        CPPUNIT_ASSERT(takeToken(budget, 1, start).retryAfter > 800ms);
+            takeToken(budget, Timeliness::InTime, 0, start);
+        CPPUNIT_ASSERT(takeToken(budget, Timeliness::InTime, 0, start).retryAfter == 50ms);
+        CPPUNIT_ASSERT(takeToken(budget, Timeliness::InTime, 1, start).retryAfter > 800ms);
         for (int i = 0; i < 1000; ++i)
-            CPPUNIT_ASSERT(takeToken(budget, 1, start).retryAfter <= 1500ms);
+            CPPUNIT_ASSERT(takeToken(budget, Timeliness::InTime, 1, start).retryAfter <= 1500ms);
     }
 
     void holdOffLosesNoToken()
     {
         Budget budget = makeOwner({1000, 20});
         drain(budget, start);
-        CPPUNIT_ASSERT(takeToken(budget, 0, start).holdOff == 0ms);
+        CPPUNIT_ASSERT(takeToken(budget, Timeliness::InTime, 0, start).holdOff == 0ms);
         for (int i = 0; i < 1000; ++i)
-            takeToken(budget, 0, start);
-        CPPUNIT_ASSERT(takeToken(budget, 0, start).holdOff == 10ms);
+            takeToken(budget, Timeliness::InTime, 0, start);
+        CPPUNIT_ASSERT(takeToken(budget, Timeliness::InTime, 0, start).holdOff == 10ms);
     }
 
     // Guards against an excess when many instances lose contact at once.
@@ -170,6 +171,32 @@
         CPPUNIT_ASSERT(!memory.find({1, 999}, start + 10s));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), memory.size());
     }
+
+    // Guards against tokens for callers that come back after a refusal and can't be answered in
+    // time any more, while as many requests as the quota allows could be answered in time. Load:
+    // an organisation sends one and a half times its quota, and the refused callers come back.
+    void lateRequestsLeaveTokensToOthersAtTheQuota()
+    {
+        Budget budget = makeOwner({100, 100});
+        unsigned inTime = 0;
+        unsigned late = 0;
+        const auto isGranted = [&budget](Timeliness timeliness, TimePoint now) {
+            return takeToken(budget, timeliness, 0.5, now).verdict == Verdict::Granted;
+        };
+        constexpr unsigned steps = 3000;
+        for (unsigned i = 0; i < steps; ++i) {
+            const TimePoint now = start + 1s + i * 1ms;
+            late += i % 10 == 0 && isGranted(Timeliness::Late, now) ? 1 : 0;
+            inTime += i % 20 < 3 && isGranted(Timeliness::InTime, now) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(inTime + late >= 300);
+        CPPUNIT_ASSERT(late <= 60);
+        // Late requests get the tokens that nobody else wants.
+        late = 0;
+        for (unsigned i = 0; i < 1000; ++i)
+            late += i % 10 == 0 && isGranted(Timeliness::Late, start + 10s + i * 1ms) ? 1 : 0;
+        CPPUNIT_ASSERT_EQUAL(100U, late);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BudgetTest);
--- a/packages/wire/include/apricotrock/gateway_generated.h
+++ b/packages/wire/include/apricotrock/gateway_generated.h
@@ -377,18 +377,34 @@
   uint64_t ticket_;
   uint64_t organisation_;
   uint64_t configuration_version_;
+  uint8_t is_late_;
+  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
 
  public:
   struct Traits;
   QuotaRequest()
       : ticket_(0),
         organisation_(0),
-        configuration_version_(0) {
+        configuration_version_(0),
+        is_late_(0),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
   }
-  QuotaRequest(uint64_t _ticket, uint64_t _organisation, uint64_t _configuration_version)
+  QuotaRequest(uint64_t _ticket, uint64_t _organisation, uint64_t _configuration_version, bool _is_late)
       : ticket_(flatbuffers::EndianScalar(_ticket)),
         organisation_(flatbuffers::EndianScalar(_organisation)),
-        configuration_version_(flatbuffers::EndianScalar(_configuration_version)) {
+        configuration_version_(flatbuffers::EndianScalar(_configuration_version)),
+        is_late_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_late))),
+        padding0__(0),
+        padding1__(0),
+        padding2__(0) {
+    (void)padding0__;
+    (void)padding1__;
+    (void)padding2__;
   }
   uint64_t ticket() const {
     return flatbuffers::EndianScalar(ticket_);
@@ -399,8 +415,11 @@
   uint64_t configuration_version() const {
     return flatbuffers::EndianScalar(configuration_version_);
   }
+  bool is_late() const {
+    return flatbuffers::EndianScalar(is_late_) != 0;
+  }
 };
-FLATBUFFERS_STRUCT_END(QuotaRequest, 24);
+FLATBUFFERS_STRUCT_END(QuotaRequest, 32);
 
 struct QuotaRequest::Traits {
   using type = QuotaRequest;
