Fleet: Compare sequence numbers only between records of different eras

A store that had been restored before this fleet started reports an era above 0 from its first answer. Sequence numbers decided there between all records of a process, so that a record with an equal or lower one was lost, e.g. a change of state within a heartbeat, and a removed server that registered again.

Within an era, the position of the last accepted record now decides. Obsolete records carry their position, also to peers (LeavingServer.obsolete_era and obsolete_offset), so that the same rule holds for instances that join. A server that the copy does not hold may register with the record that it had before.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -182,6 +182,9 @@
 struct KnownServer
 {
     ServerRecord record;
+    /// Position of the last record that was accepted. That of \c record may be higher: it covers
+    /// records that were found to be obsolete.
+    StorePosition acceptedPosition;
     /// The last readable entry. It is kept after a removal while the server may register again
     /// after a store outage.
     std::optional<ServerEntry> entry;
@@ -203,6 +206,9 @@
     std::uint64_t processStartMs = 0;
     /// Records up to this sequence number are obsolete; 0 means all of them.
     std::uint64_t obsoleteSequence = 0;
+    /// Position of the removal or of the record that says draining. In its era the position
+    /// decides, not the sequence number.
+    StorePosition obsoletePosition = {};
 };
 
 /// The backend servers as of a position in the store's stream of records.
@@ -216,10 +222,10 @@
         StorePosition position;
     };
 
-    /// True if \a record replaces what is known of its server. Until the store has been restored
-    /// from a copy, the higher position decides. After that, the position does not show whether a
-    /// record comes from the copy: the sequence number decides between records of one process, and
-    /// the start time between records of different processes from different eras.
+    /// True if \a record replaces what is known of its server. Within an era, the higher position
+    /// decides. Between records of different eras, the position does not show whether a record
+    /// comes from the copy: the sequence number decides between records of one process, and the
+    /// start time between records of different processes.
     [[nodiscard]] bool accepts(const ServerRecord &record) const;
     /// Merges the \a records that it accepts. Returns the changes that affect routing.
     std::vector<Change> merge(const std::vector<ServerRecord> &records, TimePoint now);
@@ -233,7 +239,8 @@
     /// Records that a process of a backend server leaves, as it said itself, or that its records
     /// up to a sequence number are obsolete. The first mark outlives later records of the same
     /// process, unless they say draining and then ready; the second ends with a record that has a
-    /// higher sequence number. Returns the change if the server was usable until now.
+    /// higher sequence number, or a higher position in the same era. Returns the change if the
+    /// server was usable until now.
     std::optional<Change> markLeaving(const LeavingServer &leaving, TimePoint now);
     /// Returns the processes that said that they leave while their record still says ready,
     /// and the last records of those that were removed or are draining. The latter take effect at
@@ -261,6 +268,8 @@
     {
         std::uint64_t processStartMs = 0;
         std::uint64_t sequence = 0;
+        /// Position of the removal or of the record that says draining.
+        StorePosition position;
         TimePoint recordedAt;
         /// Another instance reported it.
         bool isFromPeer = false;
@@ -273,7 +282,7 @@
     /// Excludes a usable server whose record comes from the copy and is obsolete.
     std::optional<Change> excludeObsolete(KnownServer &server);
     void recordObsolete(const std::string &id, const ObsoleteRecords &obsolete);
-    [[nodiscard]] bool isObsolete(const ServerEntry &entry) const;
+    [[nodiscard]] bool isObsolete(const ServerEntry &entry, const StorePosition &position) const;
     [[nodiscard]] bool hasEntry(const std::string &id) const;
     [[nodiscard]] std::optional<TimePoint> removalGrace(TimePoint now) const;
 
--- a/packages/fleet/src/serverdirectory.cpp
+++ b/packages/fleet/src/serverdirectory.cpp
@@ -67,12 +67,14 @@
     return std::nullopt;
 }
 
-bool ServerDirectory::isObsolete(const ServerEntry &entry) const
+bool ServerDirectory::isObsolete(const ServerEntry &entry, const StorePosition &position) const
 {
     const auto found = m_obsolete.find(entry.id);
     if (found == m_obsolete.end())
         return false;
     const ObsoleteRecords &obsolete = found->second;
+    if (position.era == obsolete.position.era)
+        return entry.processStartMs <= obsolete.processStartMs && position <= obsolete.position;
     if (haveSameOrigin(obsolete.processStartMs, obsolete.sequence, entry))
         return entry.sequence <= obsolete.sequence;
     return obsolete.isFromPeer && entry.processStartMs < obsolete.processStartMs;
@@ -90,18 +92,25 @@
     const bool hasEra = record.position.era > 0 || known.position.era > 0;
     if (!record.entry || !hasEra)
         return isLater;
-    const bool hasOtherEra = record.position.era != known.position.era;
+    const StorePosition &accepted = found->second.acceptedPosition;
+    const bool hasOtherEra = record.position.era != accepted.era;
     if (known.entry) {
-        if (haveSameOrigin(known.entry->processStartMs, known.entry->sequence, *record.entry))
+        const bool isComparable =
+            haveSameOrigin(known.entry->processStartMs, known.entry->sequence, *record.entry);
+        // A peer gives its record the position of the obsolete one that the copy holds.
+        const bool isDecidedBySequence = hasOtherEra || record.position == accepted;
+        if (isComparable && isDecidedBySequence)
             return record.entry->sequence > known.entry->sequence;
-        if (hasOtherEra && record.entry->processStartMs != known.entry->processStartMs)
+        if (!hasOtherEra)
+            return record.position > accepted;
+        if (record.entry->processStartMs != known.entry->processStartMs)
             return record.entry->processStartMs > known.entry->processStartMs;
         return isLater;
     }
     const auto obsolete = m_obsolete.find(record.id);
     const bool isEarlierProcess = obsolete != m_obsolete.end() && hasOtherEra
         && record.entry->processStartMs < obsolete->second.processStartMs;
-    return isLater && !isObsolete(*record.entry) && !isEarlierProcess;
+    return isLater && !isObsolete(*record.entry, record.position) && !isEarlierProcess;
 }
 
 std::optional<ServerDirectory::Change> ServerDirectory::mergeRecord(const ServerRecord &record,
@@ -128,6 +137,7 @@
     const StorePosition position = std::max(server.record.position, record.position);
     server.record = record;
     server.record.position = position;
+    server.acceptedPosition = record.position;
     server.removalGraceUntil.reset();
     server.entry = record.entry;
     const bool hasReturned = before && before->phase == ServerPhase::Draining
@@ -137,16 +147,17 @@
         && (hasReturned || leaving->second != record.entry->processStartMs))
         m_leaving.erase(leaving);
     const auto obsolete = m_obsolete.find(record.id);
-    // Before the first restore, the position alone shows that the record is newer.
-    if (position.era == 0 && record.entry->phase == ServerPhase::Ready
-        && obsolete != m_obsolete.end()
-        && (!obsolete->second.isFromPeer || !isObsolete(*record.entry)))
+    // Within an era, the position alone shows that the record is newer.
+    if (record.entry->phase == ServerPhase::Ready && obsolete != m_obsolete.end()
+        && record.position.era == obsolete->second.position.era
+        && !isObsolete(*record.entry, record.position))
         m_obsolete.erase(obsolete);
     if (record.entry->phase == ServerPhase::Draining)
-        recordObsolete(record.id,
-                       {record.entry->processStartMs, record.entry->sequence, now, false});
-    server.isLeaving =
-        m_leaving.contains(record.id) || (position.era > 0 && isObsolete(*record.entry));
+        recordObsolete(
+            record.id,
+            {record.entry->processStartMs, record.entry->sequence, record.position, now, false});
+    server.isLeaving = m_leaving.contains(record.id)
+        || (position.era > 0 && isObsolete(*record.entry, record.position));
     if (!before || before->processStartMs != record.entry->processStartMs
         || record.entry->slowStartRemaining > Duration::zero())
         server.slowStartUntil = now + record.entry->slowStartRemaining;
@@ -165,9 +176,11 @@
     KnownServer &server = m_servers[record.id];
     const bool wasUsable = isUsable(server);
     server.record = record;
+    server.acceptedPosition = record.position;
     if (server.entry)
-        recordObsolete(record.id,
-                       {server.entry->processStartMs, server.entry->sequence, now, false});
+        recordObsolete(
+            record.id,
+            {server.entry->processStartMs, server.entry->sequence, record.position, now, false});
     if (wasUsable)
         server.removalGraceUntil = removalGrace(now);
     const std::string_view what = server.removalGraceUntil ? "lapsed" : "removed";
@@ -189,7 +202,7 @@
     }
     const auto [known, isNew] = m_obsolete.try_emplace(id, obsolete);
     const auto order = [](const ObsoleteRecords &each) {
-        return std::tie(each.processStartMs, each.sequence);
+        return std::tie(each.processStartMs, each.sequence, each.position);
     };
     if (isNew || order(known->second) > order(obsolete))
         return;
@@ -205,14 +218,17 @@
     const bool isKnown = found != m_servers.end() && found->second.entry;
     if (isKnown && found->second.entry->processStartMs > leaving.processStartMs)
         return std::nullopt;
-    recordObsolete(leaving.id, {leaving.processStartMs, leaving.obsoleteSequence, now, true});
+    recordObsolete(
+        leaving.id,
+        {leaving.processStartMs, leaving.obsoleteSequence, leaving.obsoletePosition, now, true});
     return isKnown ? excludeObsolete(found->second) : std::nullopt;
 }
 
 std::optional<ServerDirectory::Change> ServerDirectory::excludeObsolete(KnownServer &server)
 {
     // Before the first restore, the position alone shows that the record is newer.
-    if (server.record.position.era == 0 || !isUsable(server) || !isObsolete(*server.entry))
+    if (server.record.position.era == 0 || !isUsable(server)
+        || !isObsolete(*server.entry, server.acceptedPosition))
         return std::nullopt;
     server.isLeaving = true;
     return Change{server.record.id, "obsolete", server.record.position};
@@ -253,14 +269,14 @@
         const bool isReady = found != m_servers.end() && found->second.entry
             && found->second.entry->phase == ServerPhase::Ready;
         if (isReady || found == m_servers.end())
-            leaving.push_back({id, start, 0});
+            leaving.push_back({id, start, 0, {}});
     }
     for (const auto &[id, obsolete] : m_obsolete) {
         const auto found = m_servers.find(id);
         // A server in its grace period is expected to register again.
         if (found != m_servers.end() && found->second.removalGraceUntil)
             continue;
-        leaving.push_back({id, obsolete.processStartMs, obsolete.sequence});
+        leaving.push_back({id, obsolete.processStartMs, obsolete.sequence, obsolete.position});
     }
     return leaving;
 }
--- a/packages/fleet/tests/serverdirectorytest.cpp
+++ b/packages/fleet/tests/serverdirectorytest.cpp
@@ -72,6 +72,8 @@
     CPPUNIT_TEST(obsoleteRecordsAreReportedToOthers);
     CPPUNIT_TEST(earlierProcessInTheCopyIsIgnored);
     CPPUNIT_TEST(sequenceDoesNotMatterBeforeARestore);
+    CPPUNIT_TEST(sequenceDoesNotMatterWithinAnEra);
+    CPPUNIT_TEST(serverThatTheCopyDoesNotHoldRegistersTheSameRecord);
     CPPUNIT_TEST(obsoleteRecordsAreForgotten);
     CPPUNIT_TEST_SUITE_END();
 
@@ -264,6 +266,46 @@
         CPPUNIT_ASSERT(isUsable(directory, "a"));
     }
 
+    // Guards against losing records of a store that was restored before this fleet started, or not
+    // at all: a change of state within a heartbeat has an equal sequence number, and a server may
+    // write its numbers in another order or none at all.
+    void sequenceDoesNotMatterWithinAnEra()
+    {
+        for (const std::uint64_t sequence : {5, 4, 0}) {
+            ServerDirectory directory;
+            directory.mergeSnapshot({makeProcess("a", {1, 90}, 5)}, {1, 100}, m_now);
+            directory.advanceTo({1, 100});
+            directory.merge({makeProcess("a", {1, 101}, sequence, ServerPhase::Draining)}, m_now);
+            CPPUNIT_ASSERT(!isUsable(directory, "a"));
+            directory.merge({makeProcess("a", {1, 102}, sequence)}, m_now);
+            CPPUNIT_ASSERT(isUsable(directory, "a"));
+            directory.merge({{"a", {1, 103}, std::nullopt}}, m_now);
+            CPPUNIT_ASSERT(!isUsable(directory, "a"));
+            ServerDirectory starting;
+            for (const LeavingServer &each : directory.leavingServers())
+                starting.markLeaving(each, m_now);
+            for (ServerDirectory *each : {&directory, &starting}) {
+                each->merge({makeProcess("a", {1, 104}, sequence)}, m_now);
+                CPPUNIT_ASSERT(isUsable(*each, "a"));
+            }
+            directory.merge({makeProcess("a", {1, 103}, 9, ServerPhase::Draining)}, m_now);
+            CPPUNIT_ASSERT(isUsable(directory, "a"));
+        }
+    }
+
+    // Guards against refusing a server that writes again what it wrote before the restore.
+    void serverThatTheCopyDoesNotHoldRegistersTheSameRecord()
+    {
+        ServerDirectory directory;
+        directory.mergeSnapshot({makeProcess("a", {0, 90}, 5)}, {0, 100}, m_now);
+        directory.advanceTo({0, 100});
+        directory.mergeSnapshot({}, {1, 60}, m_now);
+        directory.advanceTo({1, 60});
+        directory.merge({makeProcess("a", {1, 61}, 5)}, m_now);
+        directory.expire(m_now + 10s);
+        CPPUNIT_ASSERT(isUsable(directory, "a"));
+    }
+
     // Guards against another order of records where the store was never restored.
     void sequenceDoesNotMatterBeforeARestore()
     {
--- a/packages/gateway/src/peerchannel.cpp
+++ b/packages/gateway/src/peerchannel.cpp
@@ -67,6 +67,8 @@
         leaving->id = servers[i].id;
         leaving->process_start_ms = servers[i].processStartMs;
         leaving->obsolete_sequence = servers[i].obsoleteSequence;
+        leaving->obsolete_era = servers[i].obsoletePosition.era;
+        leaving->obsolete_offset = servers[i].obsoletePosition.offset;
         message.leaving.push_back(std::move(leaving));
     }
     return end;
@@ -566,7 +568,10 @@
     if (!message.leaving.empty()) {
         std::vector<fleet::LeavingServer> leaving;
         for (const auto &each : message.leaving)
-            leaving.push_back({each->id, each->process_start_ms, each->obsolete_sequence});
+            leaving.push_back({each->id,
+                               each->process_start_ms,
+                               each->obsolete_sequence,
+                               {each->obsolete_era, each->obsolete_offset}});
         m_handlers.leaving(leaving);
     }
     for (const auto &each : message.crashes)
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -388,7 +388,10 @@
         return;
     std::vector<fleet::LeavingServer> leaving;
     for (const auto &each : message.leaving)
-        leaving.push_back({each->id, each->process_start_ms, each->obsolete_sequence});
+        leaving.push_back({each->id,
+                           each->process_start_ms,
+                           each->obsolete_sequence,
+                           {each->obsolete_era, each->obsolete_offset}});
     handleLeaving(leaving, "peer", false);
     handleEra(end.era, ip);
     applyServers(*updates, {}, end, true, "peer");
@@ -434,6 +437,8 @@
         leaving->id = each.id;
         leaving->process_start_ms = each.processStartMs;
         leaving->obsolete_sequence = each.obsoleteSequence;
+        leaving->obsolete_era = each.obsoletePosition.era;
+        leaving->obsolete_offset = each.obsoletePosition.offset;
         message.leaving.push_back(std::move(leaving));
     }
     flatbuffers::FlatBufferBuilder builder(4096);
--- a/packages/wire/include/apricotrock/gateway_generated.h
+++ b/packages/wire/include/apricotrock/gateway_generated.h
@@ -1100,6 +1100,8 @@
   std::string id{};
   uint64_t process_start_ms = 0;
   uint64_t obsolete_sequence = 0;
+  uint32_t obsolete_era = 0;
+  uint64_t obsolete_offset = 0;
 };
 
 struct LeavingServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1109,7 +1111,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_PROCESS_START_MS = 6,
-    VT_OBSOLETE_SEQUENCE = 8
+    VT_OBSOLETE_SEQUENCE = 8,
+    VT_OBSOLETE_ERA = 10,
+    VT_OBSOLETE_OFFSET = 12
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1120,12 +1124,20 @@
   uint64_t obsolete_sequence() const {
     return GetField<uint64_t>(VT_OBSOLETE_SEQUENCE, 0);
   }
+  uint32_t obsolete_era() const {
+    return GetField<uint32_t>(VT_OBSOLETE_ERA, 0);
+  }
+  uint64_t obsolete_offset() const {
+    return GetField<uint64_t>(VT_OBSOLETE_OFFSET, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ID) &&
            verifier.VerifyString(id()) &&
            VerifyField<uint64_t>(verifier, VT_PROCESS_START_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_OBSOLETE_SEQUENCE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_OBSOLETE_ERA, 4) &&
+           VerifyField<uint64_t>(verifier, VT_OBSOLETE_OFFSET, 8) &&
            verifier.EndTable();
   }
   LeavingServerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1146,6 +1158,12 @@
   void add_obsolete_sequence(uint64_t obsolete_sequence) {
     fbb_.AddElement<uint64_t>(LeavingServer::VT_OBSOLETE_SEQUENCE, obsolete_sequence, 0);
   }
+  void add_obsolete_era(uint32_t obsolete_era) {
+    fbb_.AddElement<uint32_t>(LeavingServer::VT_OBSOLETE_ERA, obsolete_era, 0);
+  }
+  void add_obsolete_offset(uint64_t obsolete_offset) {
+    fbb_.AddElement<uint64_t>(LeavingServer::VT_OBSOLETE_OFFSET, obsolete_offset, 0);
+  }
   explicit LeavingServerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1162,10 +1180,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> id = 0,
     uint64_t process_start_ms = 0,
-    uint64_t obsolete_sequence = 0) {
+    uint64_t obsolete_sequence = 0,
+    uint32_t obsolete_era = 0,
+    uint64_t obsolete_offset = 0) {
   LeavingServerBuilder builder_(_fbb);
+  builder_.add_obsolete_offset(obsolete_offset);
   builder_.add_obsolete_sequence(obsolete_sequence);
   builder_.add_process_start_ms(process_start_ms);
+  builder_.add_obsolete_era(obsolete_era);
   builder_.add_id(id);
   return builder_.Finish();
 }
@@ -1179,13 +1201,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *id = nullptr,
     uint64_t process_start_ms = 0,
-    uint64_t obsolete_sequence = 0) {
+    uint64_t obsolete_sequence = 0,
+    uint32_t obsolete_era = 0,
+    uint64_t obsolete_offset = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   return apricotrock::wire::CreateLeavingServer(
       _fbb,
       id__,
       process_start_ms,
-      obsolete_sequence);
+      obsolete_sequence,
+      obsolete_era,
+      obsolete_offset);
 }
 
 flatbuffers::Offset<LeavingServer> CreateLeavingServer(flatbuffers::FlatBufferBuilder &_fbb, const LeavingServerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2021,6 +2047,8 @@
   { auto _e = id(); if (_e) _o->id = _e->str(); }
   { auto _e = process_start_ms(); _o->process_start_ms = _e; }
   { auto _e = obsolete_sequence(); _o->obsolete_sequence = _e; }
+  { auto _e = obsolete_era(); _o->obsolete_era = _e; }
+  { auto _e = obsolete_offset(); _o->obsolete_offset = _e; }
 }
 
 inline flatbuffers::Offset<LeavingServer> LeavingServer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeavingServerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2034,11 +2062,15 @@
   auto _id = _fbb.CreateString(_o->id);
   auto _process_start_ms = _o->process_start_ms;
   auto _obsolete_sequence = _o->obsolete_sequence;
+  auto _obsolete_era = _o->obsolete_era;
+  auto _obsolete_offset = _o->obsolete_offset;
   return apricotrock::wire::CreateLeavingServer(
       _fbb,
       _id,
       _process_start_ms,
-      _obsolete_sequence);
+      _obsolete_sequence,
+      _obsolete_era,
+      _obsolete_offset);
 }
 
 inline EvacuationOrderT *EvacuationOrder::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
