Fleet: Withdraw evacuations that the last complete read did not hold

An instance that had started after a withdrawal knew no record of the zone and took over the order from a peer that had been cut off since before. Once all instances that knew the withdrawal had been replaced, nothing ended the order. After a restore of the store, such an order had no grace period and did not end either. The position of the last complete read now decides about orders of peers for zones that are unknown here, as it does for known ones.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -363,10 +363,15 @@
     };
 
     std::optional<Change> mergeOrder(const EvacuationOrder &order, TimePoint now);
+    /// Withdraws an order of a peer for a zone that was unknown here, if the last complete set of
+    /// records should have held it. One of an earlier era gets its grace period.
+    void applySnapshotEnd(Known &known, TimePoint now) const;
     /// Makes room for another zone. Returns false if all known orders are in force.
     bool makeRoom();
 
     std::map<std::string, Known, std::less<>> m_orders;
+    /// Position up to which the newest complete set of records was merged.
+    std::optional<StorePosition> m_snapshotEnd;
     std::uint64_t m_ignoredRecords = 0;
 };
 
--- a/packages/fleet/src/evacuations.cpp
+++ b/packages/fleet/src/evacuations.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace apricotrock::fleet {
 
@@ -28,8 +29,9 @@
         Known known;
         known.position = order.position;
         known.isActive = order.isActive;
+        applySnapshotEnd(known, now);
         m_orders.emplace(order.availabilityZone, known);
-        if (!order.isActive)
+        if (!known.isActive)
             return std::nullopt;
         return Change{order.availabilityZone, true, order.position};
     }
@@ -55,6 +57,22 @@
     return Change{order.availabilityZone, order.isActive, order.position};
 }
 
+void Evacuations::applySnapshotEnd(Known &known, TimePoint now) const
+{
+    if (!known.isActive || !m_snapshotEnd || known.position >= *m_snapshotEnd)
+        return;
+    // The set may have held the order, and it was ignored.
+    if (m_ignoredRecords > 0)
+        return;
+    if (known.position.era < m_snapshotEnd->era) {
+        known.graceUntil = now + restoreGrace;
+        known.missingFrom = lastBefore(*m_snapshotEnd);
+        return;
+    }
+    known.position = lastBefore(*m_snapshotEnd);
+    known.isActive = false;
+}
+
 bool Evacuations::makeRoom()
 {
     if (m_orders.size() < maxOrders)
@@ -86,6 +104,7 @@
 Evacuations::mergeSnapshot(const std::vector<EvacuationOrder> &orders, const StorePosition &end,
                            TimePoint now)
 {
+    const auto earlierEnd = std::exchange(m_snapshotEnd, std::nullopt);
     std::vector<Change> changes = merge(orders, now);
     std::set<std::string_view> present;
     for (const EvacuationOrder &each : orders)
@@ -104,6 +123,7 @@
     }
     const auto withdrawn = merge(withdrawals, now);
     changes.insert(changes.end(), withdrawn.begin(), withdrawn.end());
+    m_snapshotEnd = std::max(earlierEnd, std::optional(end));
     return changes;
 }
 
--- a/packages/fleet/tests/evacuationstest.cpp
+++ b/packages/fleet/tests/evacuationstest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(newestRecordCountsInAnyOrderOfArrival);
     CPPUNIT_TEST(orderMissingFromARead);
     CPPUNIT_TEST(orderMissingFromALaterEra);
+    CPPUNIT_TEST(readWithoutTheOrderOutlivesAPeerThatHasIt);
     CPPUNIT_TEST(recordsBeyondTheBounds);
     CPPUNIT_TEST_SUITE_END();
 
@@ -115,6 +116,30 @@
         CPPUNIT_ASSERT(evacuations.isEvacuated("a", m_now + 40s));
     }
 
+    // Guards against an order that nobody withdraws: the instances that saw the withdrawal have
+    // been replaced, and one that was cut off since spreads the order.
+    void readWithoutTheOrderOutlivesAPeerThatHasIt()
+    {
+        const auto end = fleet::StorePosition{0, 30};
+        Evacuations started;
+        started.mergeSnapshot({order(25, true, 0, "b")}, end, m_now);
+        Evacuations cutOff;
+        cutOff.merge({order(10, true), order(31, true, 0, "c")}, m_now);
+        started.merge(cutOff.orders(), m_now);
+        CPPUNIT_ASSERT(!started.isEvacuated("a", m_now));
+        CPPUNIT_ASSERT(started.isEvacuated("b", m_now));
+        CPPUNIT_ASSERT(started.isEvacuated("c", m_now));
+        cutOff.merge(started.orders(), m_now);
+        CPPUNIT_ASSERT(!cutOff.isEvacuated("a", m_now));
+        // The store was restored meanwhile: the order can still be written again.
+        Evacuations restored;
+        restored.mergeSnapshot({}, {1, 20}, m_now);
+        restored.merge({order(10, true)}, m_now + 5s);
+        CPPUNIT_ASSERT(restored.isEvacuated("a", m_now + 14s));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), restored.expire(m_now + 15s).size());
+        CPPUNIT_ASSERT(!restored.isEvacuated("a", m_now + 15s));
+    }
+
     // Guards against unbounded memory and messages, and against the loss of an order in force.
     void recordsBeyondTheBounds()
     {
