Broker: Keep a cold period that a probe told when an older record is read

A record that was written before a server became cold again, but read after the probe that told so, ended the cold period too early. Between the two ends of one process the later one now counts; the next probe corrects one that is too late.

--- a/packages/broker/src/coldstart.cpp
+++ b/packages/broker/src/coldstart.cpp
@@ -75,8 +75,12 @@
     server.info = info;
     server.hasAnswered = server.hasAnswered && isSameProcess;
     server.recordedSlowStart = info.slowStartUntil;
+    // A record can be older than the probe. If it says a shorter time by mistake, the next probe
+    // corrects it.
     if (isSameRecord)
         server.info.slowStartUntil = known;
+    else if (isSameProcess)
+        server.info.slowStartUntil = std::max(known, info.slowStartUntil);
 }
 
 bool canWaitForColdServer(const ServiceState &state, const ServiceLoad &load,
--- a/packages/broker/tests/coldstarttest.cpp
+++ b/packages/broker/tests/coldstarttest.cpp
@@ -180,6 +180,7 @@
     CPPUNIT_TEST(instanceWithoutLeadRefusesAtOnce);
     CPPUNIT_TEST(hedgesDoNotStartOnColdServers);
     CPPUNIT_TEST(probeChangesTheColdPeriod);
+    CPPUNIT_TEST(recordDoesNotShortenWhatAProbeTold);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -311,6 +312,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), decisions.size());
         CPPUNIT_ASSERT_EQUAL(ServerKey(1), decisions.front().server);
     }
+
+    // Guards against a record from before the server became cold again that is read after the probe
+    // that told so.
+    void recordDoesNotShortenWhatAProbeTold()
+    {
+        ColdSimulation simulation(1, 1, 1);
+        ServiceState &state = simulation.state(0);
+        learnCold(state, 1, 5s, start);
+        std::vector<ServerInfo> servers = simulation.makeServers(1);
+        servers[0].slowStartUntil = start + 1s;
+        setServers(state, servers);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), coldServerCount(state, start + 4s));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ColdStartTest);
