Broker: Probe a server for its cold period as its load requires

Servers with a limit for cold starts were probed every 500 ms at least. A server that is not cold is now probed at once when the attempts since its last probe exceed what it may get while cold, and otherwise after 2 s.

--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -217,6 +217,10 @@
     std::optional<LoadReport> report;
     TimePoint reported;
     TimePoint lastProbed;
+    /// Attempts since the last probe beyond ServerInfo::coldStartsPerSecond, as of the second
+    /// value.
+    double uncheckedStarts = 0;
+    TimePoint uncheckedStartsUpdated;
     /// Load from attempts that this state doesn't know, estimated from load reports.
     double untrackedLoad = 0;
     TimePoint untrackedLoadUpdated;
--- a/packages/broker/src/coldstart.cpp
+++ b/packages/broker/src/coldstart.cpp
@@ -29,6 +29,16 @@
     return std::min(bucketCapacity, known + refilled * coldStartRate(state, server, now));
 }
 
+/// Interval of probes of a cold server, which may become warm earlier or later than it told.
+constexpr Duration coldProbeInterval = std::chrono::milliseconds(500);
+/// Longest interval of probes of a server that is not cold, even if attempts report its load.
+constexpr Duration warmProbeInterval = std::chrono::seconds(2);
+/// Attempts beyond the limit after which a server that is not cold is probed, and the seconds of
+/// the limit that are added to them. The bound for cold servers allows 8 attempts and half a second
+/// of the limit; the rest is for attempts that start until the probe is answered.
+constexpr double startsPerProbe = 4;
+constexpr double secondsPerProbe = 0.25;
+
 } // namespace
 
 bool isCold(const ServerState &server, TimePoint now)
@@ -102,6 +112,22 @@
     return wasCold != isCold(server, now);
 }
 
+Duration coldProbePause(const ServerState &server, Duration shortest, TimePoint now)
+{
+    if (isCold(server, now))
+        return coldProbeInterval;
+    const double allowed = startsPerProbe + secondsPerProbe * server.info.coldStartsPerSecond;
+    return server.uncheckedStarts >= allowed ? shortest : warmProbeInterval;
+}
+
+void countUncheckedStart(ServerState &server, TimePoint now)
+{
+    const Duration elapsed = std::max(Duration(0), now - server.uncheckedStartsUpdated);
+    const double allowed = toSeconds(elapsed) * server.info.coldStartsPerSecond;
+    server.uncheckedStarts = std::max(0.0, server.uncheckedStarts - allowed) + 1;
+    server.uncheckedStartsUpdated = now;
+}
+
 std::size_t coldServerCount(const ServiceState &state, TimePoint now)
 {
     return static_cast<std::size_t>(
--- a/packages/broker/src/coldstart.h
+++ b/packages/broker/src/coldstart.h
@@ -22,6 +22,14 @@
 /// is of another process or of a newer record.
 void updateInfo(ServerState &server, const ServerInfo &info);
 
+/// Returns the interval of probes of \a server, which has a limit for cold starts, that holds even
+/// if attempts report its load: only probes tell that it has become cold again, or is no longer.
+/// It is \a shortest if more attempts have been started on the server than it may get while cold.
+Duration coldProbePause(const ServerState &server, Duration shortest, TimePoint now);
+
+/// Counts the start of an attempt since the last probe of \a server.
+void countUncheckedStart(ServerState &server, TimePoint now);
+
 /// Returns true if the starts on cold servers that are allowed before \a request must be sent
 /// suffice for it and for all queued requests. Applies while no other server is left.
 bool canWaitForColdServer(const ServiceState &state, const ServiceLoad &load,
--- a/packages/broker/src/dispatch.cpp
+++ b/packages/broker/src/dispatch.cpp
@@ -71,6 +71,7 @@
     ServerState &server = *choice.server;
     if (isCold(server, now))
         countColdStart(state, server, now);
+    countUncheckedStart(server, now);
     ActiveAttempt attempt;
     attempt.key = request.key;
     attempt.route = request.route;
--- a/packages/broker/src/service.cpp
+++ b/packages/broker/src/service.cpp
@@ -18,8 +18,6 @@
 constexpr unsigned maxPauseDoublings = 4;
 /// Minimum interval between probes of a server that can't be reached.
 constexpr Duration unreachableProbeInterval = milliseconds(400);
-/// Interval of probes of a server with a limit for cold starts, even if attempts report its load.
-constexpr Duration coldProbeInterval = milliseconds(500);
 /// Time for which a server gets no attempts after it has rejected one because it is full.
 constexpr Duration rejectionPause = milliseconds(60);
 
@@ -219,15 +217,17 @@
     for (auto &[key, server] : state.servers) {
         if (!server.info.isUsable)
             continue;
-        // Only probes tell that a server has become cold again, or is no longer.
-        const bool needsColdProbe =
-            server.info.coldStartsPerSecond > 0 && now - server.lastProbed >= coldProbeInterval;
-        const bool isFresh = server.report && now - server.reported < interval && !needsColdProbe;
+        const Duration sinceProbe = now - server.lastProbed;
+        const bool isFresh = server.report && now - server.reported < interval;
         const Duration pause =
             server.connectFailures > 0 ? std::max(unreachableProbeInterval, interval) : interval;
-        if (isFresh || now - server.lastProbed < pause)
+        const bool needsColdProbe = server.info.coldStartsPerSecond > 0
+            && server.connectFailures == 0
+            && sinceProbe >= coldProbePause(server, state.policy.probeInterval, now);
+        if (!needsColdProbe && (isFresh || sinceProbe < pause))
             continue;
         server.lastProbed = now;
+        server.uncheckedStarts = 0;
         due.push_back(key);
     }
     return due;
--- a/packages/broker/tests/coldstarttest.cpp
+++ b/packages/broker/tests/coldstarttest.cpp
@@ -181,6 +181,7 @@
     CPPUNIT_TEST(hedgesDoNotStartOnColdServers);
     CPPUNIT_TEST(probeChangesTheColdPeriod);
     CPPUNIT_TEST(recordDoesNotShortenWhatAProbeTold);
+    CPPUNIT_TEST(serverThatBecomesColdUnderLoadIsProbedInTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -325,6 +326,87 @@
         setServers(state, servers);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), coldServerCount(state, start + 4s));
     }
+
+    // Pattern: one of ten servers becomes cold between two probes, at different loads. Guards
+    // against too many requests until a probe tells so, and against probes that are not needed.
+    void serverThatBecomesColdUnderLoadIsProbedInTime()
+    {
+        for (const double ratePerServer : {2.5, 8.0, 20.0, 50.0}) {
+            const double usual = becomeCold(ratePerServer, 2s, 0).second;
+            for (Duration offset = 0ms; offset < 500ms; offset += 50ms) {
+                const auto [starts, probes] = becomeCold(ratePerServer, 2s + offset, coldRate);
+                CPPUNIT_ASSERT_LESSEQUAL(static_cast<std::size_t>(coldRate * 1.5 + 8), starts);
+                const double needed = 10 * 2 * std::max(0.5, (ratePerServer - coldRate) / 6);
+                CPPUNIT_ASSERT_LESSEQUAL(usual + needed, probes);
+            }
+        }
+    }
+
+private:
+    /// Returns the most starts on the server in one second, and the number of probes in the first
+    /// two seconds.
+    static std::pair<std::size_t, double> becomeCold(double ratePerServer, Duration after,
+                                                     double limit)
+    {
+        constexpr unsigned count = 10;
+        constexpr Duration probeTick = 25ms;
+        constexpr Duration probeTime = 30ms;
+        ServiceState state;
+        state.isLeading = true;
+        state.leadingSince = start - 1h;
+        state.policy.probesPerSecond = 2 * count;
+        state.routes[1] = {std::chrono::duration<double>(workTime).count(), 100};
+        std::vector<ServerInfo> servers;
+        for (ServerKey key = 1; key <= count; ++key)
+            servers.push_back({key, 4, true, {}, 1, 1, limit});
+        setServers(state, servers);
+        std::multimap<TimePoint, Decision> running;
+        std::multimap<TimePoint, ServerKey> probing;
+        std::vector<TimePoint> starts;
+        double probes = 0;
+        double due = 0;
+        std::uint64_t ticket = 1;
+        for (TimePoint now = start; now < start + after + 3s; now += step) {
+            const bool isCold = now >= start + after;
+            for (; !probing.empty() && probing.begin()->first <= now;
+                 probing.erase(probing.begin())) {
+                const ServerKey key = probing.begin()->second;
+                learnCold(state, key, key == 1 && isCold ? 10s : 0s, now);
+                learnLoad(state, key, {0, 0, 4, 1.0}, now);
+            }
+            for (; !running.empty() && running.begin()->first <= now;
+                 running.erase(running.begin())) {
+                const Decision &each = running.begin()->second;
+                recordAttemptEnd(state,
+                                 {each.key, each.server, AttemptOutcome::Answered,
+                                  LoadReport{1, 0, 4, 1.0}, workTime},
+                                 now);
+            }
+            std::vector<Decision> decisions = processQueue(state, now);
+            due += ratePerServer * count * std::chrono::duration<double>(step).count();
+            for (; due >= 1; due -= 1)
+                decisions.push_back(requestAttempt(state, makeRequest(ticket++, now), now));
+            for (const Decision &each : decisions) {
+                if (each.verdict != Verdict::Granted)
+                    continue;
+                running.emplace(now + workTime, each);
+                if (each.server == 1 && isCold)
+                    starts.push_back(now);
+            }
+            if ((now - start) % probeTick != Duration(0))
+                continue;
+            for (const ServerKey key : takeDueProbes(state, now)) {
+                probing.emplace(now + probeTime, key);
+                probes += now < start + 2s ? 1 : 0;
+            }
+        }
+        std::size_t most = 0;
+        for (auto first = starts.begin(); first != starts.end(); ++first) {
+            const auto last = std::lower_bound(first, starts.end(), *first + 1s);
+            most = std::max(most, static_cast<std::size_t>(last - first));
+        }
+        return {most, probes};
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ColdStartTest);
