Fleet: Report a server that becomes cold again as a change

A record of the same process that differs only in its remaining cold time was merged without a change, so that the fleet did not distribute it and the leader learned of it by its next probe only. The first record of a new cold period is now reported; those of the same period, which are read with varying delays, are not.

--- a/packages/fleet/src/serverdirectory.cpp
+++ b/packages/fleet/src/serverdirectory.cpp
@@ -21,6 +21,10 @@
 /// seconds old.
 constexpr Duration obsoleteLifetime = std::chrono::minutes(10);
 
+/// A slow start that ends later by less than this is not reported as a change; covers the varying
+/// delay with which the records of one slow start are read.
+constexpr Duration slowStartTolerance = milliseconds(1000);
+
 /// True if the sequence numbers of the two records tell which one is newer.
 bool haveSameOrigin(std::uint64_t start, std::uint64_t sequence, const ServerEntry &entry)
 {
@@ -134,6 +138,7 @@
     const bool wasUsable = isUsable(server);
     const bool wasLapsed = server.removalGraceUntil.has_value();
     const std::optional<ServerEntry> before = server.entry;
+    const TimePoint slowStartBefore = server.slowStartUntil;
     const StorePosition position = std::max(server.record.position, record.position);
     server.record = record;
     server.record.position = position;
@@ -161,7 +166,9 @@
     if (!before || before->processStartMs != record.entry->processStartMs
         || record.entry->slowStartRemaining > Duration::zero())
         server.slowStartUntil = now + record.entry->slowStartRemaining;
-    const bool isSame = before && before->hasSameRoutingAs(*record.entry);
+    const bool isColder =
+        server.slowStartUntil > std::max(slowStartBefore, now) + slowStartTolerance;
+    const bool isSame = before && before->hasSameRoutingAs(*record.entry) && !isColder;
     if (isSame && !wasLapsed && wasUsable == isUsable(server))
         return std::nullopt;
     const std::string_view what = !before              ? "joined"
--- a/packages/fleet/tests/serverdirectorytest.cpp
+++ b/packages/fleet/tests/serverdirectorytest.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST_SUITE(ServerDirectoryTest);
     CPPUNIT_TEST(olderRecordIsIgnored);
     CPPUNIT_TEST(heartbeatIsNotReportedAsChange);
+    CPPUNIT_TEST(processThatBecomesColdAgainIsReportedOnce);
     CPPUNIT_TEST(snapshotRemovesMissingServers);
     CPPUNIT_TEST(snapshotKeepsServersRegisteredAfterIt);
     CPPUNIT_TEST(removalWithoutOutageTakesEffectImmediately);
@@ -253,6 +254,23 @@
         }
     }
 
+    // Guards against instances that know nothing of a cold period which began after the start, and
+    // against a change with each heartbeat in it.
+    void processThatBecomesColdAgainIsReportedOnce()
+    {
+        ServerDirectory directory;
+        ServerRecord record = makeProcess("a", {0, 1}, 1);
+        directory.merge({record}, m_now);
+        std::size_t changes = 0;
+        for (unsigned i = 0; i < 10; ++i) {
+            record.position.offset += 1;
+            // Read with a delay that varies.
+            record.entry->slowStartRemaining = 10s - i * 1s;
+            changes += directory.merge({record}, m_now + i * 1s + (i % 2) * 600ms).size();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes);
+    }
+
     // Guards against a return to the previous process of a server that was replaced after the copy
     // was taken.
     void earlierProcessInTheCopyIsIgnored()
