--- a/packages/fleet/tests/serverdirectorytest.cpp
+++ b/packages/fleet/tests/serverdirectorytest.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST_SUITE(ServerDirectoryTest);
     CPPUNIT_TEST(olderRecordIsIgnored);
     CPPUNIT_TEST(heartbeatIsNotReportedAsChange);
+    CPPUNIT_TEST(processThatBecomesColdAgainIsReportedOnce);
     CPPUNIT_TEST(snapshotRemovesMissingServers);
     CPPUNIT_TEST(snapshotKeepsServersRegisteredAfterIt);
     CPPUNIT_TEST(removalWithoutOutageTakesEffectImmediately);
@@ -72,6 +73,8 @@
     CPPUNIT_TEST(obsoleteRecordsAreReportedToOthers);
     CPPUNIT_TEST(earlierProcessInTheCopyIsIgnored);
     CPPUNIT_TEST(sequenceDoesNotMatterBeforeARestore);
+    CPPUNIT_TEST(sequenceDoesNotMatterWithinAnEra);
+    CPPUNIT_TEST(serverThatTheCopyDoesNotHoldRegistersTheSameRecord);
     CPPUNIT_TEST(obsoleteRecordsAreForgotten);
     CPPUNIT_TEST_SUITE_END();
 
@@ -251,6 +254,23 @@
         }
     }
 
+    // Guards against instances that know nothing of a cold period which began after the start, and
+    // against a change with each heartbeat in it.
+    void processThatBecomesColdAgainIsReportedOnce()
+    {
+        ServerDirectory directory;
+        ServerRecord record = makeProcess("a", {0, 1}, 1);
+        directory.merge({record}, m_now);
+        std::size_t changes = 0;
+        for (unsigned i = 0; i < 10; ++i) {
+            record.position.offset += 1;
+            // Read with a delay that varies.
+            record.entry->slowStartRemaining = 10s - i * 1s;
+            changes += directory.merge({record}, m_now + i * 1s + (i % 2) * 600ms).size();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes);
+    }
+
     // Guards against a return to the previous process of a server that was replaced after the copy
     // was taken.
     void earlierProcessInTheCopyIsIgnored()
@@ -264,6 +284,46 @@
         CPPUNIT_ASSERT(isUsable(directory, "a"));
     }
 
+    // Guards against losing records of a store that was restored before this fleet started, or not
+    // at all: a change of state within a heartbeat has an equal sequence number, and a server may
+    // write its numbers in another order or none at all.
+    void sequenceDoesNotMatterWithinAnEra()
+    {
+        for (const std::uint64_t sequence : {5, 4, 0}) {
+            ServerDirectory directory;
+            directory.mergeSnapshot({makeProcess("a", {1, 90}, 5)}, {1, 100}, m_now);
+            directory.advanceTo({1, 100});
+            directory.merge({makeProcess("a", {1, 101}, sequence, ServerPhase::Draining)}, m_now);
+            CPPUNIT_ASSERT(!isUsable(directory, "a"));
+            directory.merge({makeProcess("a", {1, 102}, sequence)}, m_now);
+            CPPUNIT_ASSERT(isUsable(directory, "a"));
+            directory.merge({{"a", {1, 103}, std::nullopt}}, m_now);
+            CPPUNIT_ASSERT(!isUsable(directory, "a"));
+            ServerDirectory starting;
+            for (const LeavingServer &each : directory.leavingServers())
+                starting.markLeaving(each, m_now);
+            for (ServerDirectory *each : {&directory, &starting}) {
+                each->merge({makeProcess("a", {1, 104}, sequence)}, m_now);
+                CPPUNIT_ASSERT(isUsable(*each, "a"));
+            }
+            directory.merge({makeProcess("a", {1, 103}, 9, ServerPhase::Draining)}, m_now);
+            CPPUNIT_ASSERT(isUsable(directory, "a"));
+        }
+    }
+
+    // Guards against refusing a server that writes again what it wrote before the restore.
+    void serverThatTheCopyDoesNotHoldRegistersTheSameRecord()
+    {
+        ServerDirectory directory;
+        directory.mergeSnapshot({makeProcess("a", {0, 90}, 5)}, {0, 100}, m_now);
+        directory.advanceTo({0, 100});
+        directory.mergeSnapshot({}, {1, 60}, m_now);
+        directory.advanceTo({1, 60});
+        directory.merge({makeProcess("a", {1, 61}, 5)}, m_now);
+        directory.expire(m_now + 10s);
+        CPPUNIT_ASSERT(isUsable(directory, "a"));
+    }
+
     // Guards against another order of records where the store was never restored.
     void sequenceDoesNotMatterBeforeARestore()
     {
