Gateway: Forward requests for tokens to the owner of the quota

An instance that has just started knows a part of the fleet and takes another instance for the owner; each instance that was mistaken for it granted tokens of the start level. Change: an instance that isn't the owner decides only for a sender whose owner was silent. Otherwise it asks the owner on behalf of the sender.

--- a/packages/gateway/src/quotaallocator.cpp
+++ b/packages/gateway/src/quotaallocator.cpp
@@ -83,7 +83,10 @@
       returnedCancelled(returnCounter(registry, "cancelled")),
       returnedSilent(returnCounter(registry, "owner_silent")),
       received(registry.counter("apricotrock_quota_requests_received_total",
-                                "Requests for tokens received from other instances."))
+                                "Requests for tokens received from other instances.")),
+      forwarded(registry.counter(
+          "apricotrock_quota_requests_forwarded_total",
+          "Requests for tokens received from instances that took this one for the owner."))
 { }
 
 QuotaAllocator::QuotaAllocator(QuotaEnvironment environment, QuotaSender &sender,
@@ -267,7 +270,8 @@
 {
     m_sender.sendQuotaRequest(pending.owner,
                               {ticket, pending.organisation, m_configurationVersion,
-                               pending.timeliness == quota::Timeliness::Late});
+                               pending.timeliness == quota::Timeliness::Late,
+                               pending.isForwarded || pending.silentOwners > 0});
     pending.timer =
         m_environment.callAfter(pending.isRepeated ? requestTimeout - repeatTime : repeatTime,
                                 [this, ticket] { handleTimer(ticket); });
@@ -404,7 +408,10 @@
     if (const quota::Answer *earlier = m_tickets.find(ticket, now)) {
         answer = *earlier;
     } else if (organisation) {
-        findOwner(*organisation, now);
+        if (findOwner(*organisation, now) != m_environment.ip && !request.must_decide()) {
+            forward(ip, request);
+            return;
+        }
         const auto timeliness =
             request.is_late() ? quota::Timeliness::Late : quota::Timeliness::InTime;
         answer = quota::takeToken(organisation->budget, timeliness, random(), now);
@@ -413,6 +420,41 @@
         // Not remembered: this instance may get the sender's version before a repetition.
         answer.verdict = quota::Verdict::Unknown;
     }
+    respond(ip, request, answer);
+}
+
+void QuotaAllocator::forward(const std::string &ip, const wire::QuotaRequest &request)
+{
+    const quota::TicketKey key{instanceKey(ip), request.ticket()};
+    // A repetition of a request that is being forwarded.
+    if (!m_forwarded.insert(key).second)
+        return;
+    m_metrics.forwarded.add();
+    const std::uint64_t ticket = m_nextTicket++;
+    PendingRequest &pending = m_pendingRequests[ticket];
+    pending.organisation = request.organisation();
+    pending.timeliness = request.is_late() ? quota::Timeliness::Late : quota::Timeliness::InTime;
+    pending.isForwarded = true;
+    pending.callback = [this, ip, request, key](const QuotaDecision &decision) {
+        const TimePoint now = m_environment.now();
+        m_forwarded.erase(key);
+        const bool isReturned = m_tickets.find(key, now) != nullptr;
+        if (isReturned && decision.verdict == quota::Verdict::Granted)
+            returnToken(decision.token);
+        if (isReturned)
+            return;
+        quota::Answer answer;
+        answer.verdict = decision.verdict;
+        answer.retryAfter = decision.retryAfter;
+        m_tickets.add(key, answer, now);
+        respond(ip, request, answer);
+    };
+    ask(ticket);
+}
+
+void QuotaAllocator::respond(const std::string &ip, const wire::QuotaRequest &request,
+                             const quota::Answer &answer)
+{
     m_sender.sendQuotaResponse(ip,
                                {request.ticket(), request.organisation(),
                                 toMicroseconds(answer.retryAfter), toMicroseconds(answer.holdOff),
--- a/packages/gateway/src/quotaallocator.h
+++ b/packages/gateway/src/quotaallocator.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <random>
+#include <unordered_set>
 
 namespace apricotrock::gateway {
 
@@ -120,6 +121,8 @@
         std::string owner;
         std::uint64_t timer = 0;
         bool isRepeated = false;
+        /// Received from an instance that took this one for the owner.
+        bool isForwarded = false;
         unsigned silentOwners = 0;
     };
     struct Metrics
@@ -136,11 +139,18 @@
         metrics::Counter &returnedCancelled;
         metrics::Counter &returnedSilent;
         metrics::Counter &received;
+        metrics::Counter &forwarded;
     };
     enum class Decider : std::uint8_t { Self, Peer, Local, HoldOff };
 
     Organisation *find(std::uint64_t key);
     void ask(std::uint64_t ticket);
+    /// Asks the owner on behalf of the instance at \a ip, which took this one for it: an instance
+    /// that has just started knows a part of the fleet only. Deciding here would grant tokens of
+    /// the start level at each instance that is mistaken for the owner.
+    void forward(const std::string &ip, const wire::QuotaRequest &request);
+    void respond(const std::string &ip, const wire::QuotaRequest &request,
+                 const quota::Answer &answer);
     void send(std::uint64_t ticket, PendingRequest &pending);
     void handleTimer(std::uint64_t ticket);
     void handleSilence(std::uint64_t ticket, PendingRequest &pending);
@@ -168,6 +178,8 @@
     std::uint64_t m_configurationVersion = 0;
     std::unordered_map<std::uint64_t, PendingRequest> m_pendingRequests;
     quota::TicketMemory m_tickets;
+    /// Requests of other instances that were forwarded and are not answered yet.
+    std::unordered_set<quota::TicketKey, quota::TicketKeyHash> m_forwarded;
     std::uint64_t m_nextTicket;
     fleet::FleetContact m_contact;
     double m_share = 1;
--- a/packages/quota/include/apricotrock/quota.h
+++ b/packages/quota/include/apricotrock/quota.h
@@ -126,6 +126,14 @@
     bool operator==(const TicketKey &) const = default;
 };
 
+struct TicketKeyHash
+{
+    std::size_t operator()(const TicketKey &key) const
+    {
+        return key.instance ^ (key.number * 0x9E3779B97F4A7C15U);
+    }
+};
+
 /// The answers of the last 10 s, so that a repeated request gets the same answer and a token is
 /// taken back only once. If there are more than \a maxTickets, the oldest are forgotten.
 class TicketMemory
@@ -142,17 +150,10 @@
     [[nodiscard]] std::size_t size() const { return m_answers.size(); }
 
 private:
-    struct KeyHash
-    {
-        std::size_t operator()(const TicketKey &key) const
-        {
-            return key.instance ^ (key.number * 0x9E3779B97F4A7C15U);
-        }
-    };
     void forget(TimePoint now);
 
     std::size_t m_maxTickets;
-    std::unordered_map<TicketKey, Answer, KeyHash> m_answers;
+    std::unordered_map<TicketKey, Answer, TicketKeyHash> m_answers;
     /// In the order of time.
     std::deque<std::pair<TimePoint, TicketKey>> m_order;
 };
--- a/packages/wire/include/apricotrock/gateway_generated.h
+++ b/packages/wire/include/apricotrock/gateway_generated.h
@@ -378,7 +378,8 @@
   uint64_t organisation_;
   uint64_t configuration_version_;
   uint8_t is_late_;
-  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+  uint8_t must_decide_;
+  int16_t padding0__;  int32_t padding1__;
 
  public:
   struct Traits;
@@ -387,24 +388,22 @@
         organisation_(0),
         configuration_version_(0),
         is_late_(0),
+        must_decide_(0),
         padding0__(0),
-        padding1__(0),
-        padding2__(0) {
+        padding1__(0) {
     (void)padding0__;
     (void)padding1__;
-    (void)padding2__;
   }
-  QuotaRequest(uint64_t _ticket, uint64_t _organisation, uint64_t _configuration_version, bool _is_late)
+  QuotaRequest(uint64_t _ticket, uint64_t _organisation, uint64_t _configuration_version, bool _is_late, bool _must_decide)
       : ticket_(flatbuffers::EndianScalar(_ticket)),
         organisation_(flatbuffers::EndianScalar(_organisation)),
         configuration_version_(flatbuffers::EndianScalar(_configuration_version)),
         is_late_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_late))),
+        must_decide_(flatbuffers::EndianScalar(static_cast<uint8_t>(_must_decide))),
         padding0__(0),
-        padding1__(0),
-        padding2__(0) {
+        padding1__(0) {
     (void)padding0__;
     (void)padding1__;
-    (void)padding2__;
   }
   uint64_t ticket() const {
     return flatbuffers::EndianScalar(ticket_);
@@ -418,6 +417,9 @@
   bool is_late() const {
     return flatbuffers::EndianScalar(is_late_) != 0;
   }
+  bool must_decide() const {
+    return flatbuffers::EndianScalar(must_decide_) != 0;
+  }
 };
 FLATBUFFERS_STRUCT_END(QuotaRequest, 32);
 
