Broker: Limit hedges to a share of requests and slot time

Hedges were limited by the retry budget only, so that operators could not bound the extra work by itself. Policy::hedgeLimit is a share of the requests of a service and of their slot time, counted by the leader in the slices of the retry window. While the limit binds, a hedge that can wait is deferred, and a request that misses its target in any case gets none if others were refused. The hedge prefers another availability zone. Without the setting nothing changes.

--- a/packages/broker/include/apricotrock/broker.h
+++ b/packages/broker/include/apricotrock/broker.h
@@ -56,6 +56,8 @@
     Quarantined,
     /// Every server has told the instance to send nothing until after the deadline.
     ServersPaused,
+    /// The hedge would exceed Policy::hedgeLimit, or others gain more by what is left of it.
+    HedgeLimit,
 };
 
 /// Identifies an attempt by the instance that requests it and the ticket that it has there.
@@ -157,6 +159,10 @@
     double retryRatio = 0.2;
     double retrySlack = 0;
     Duration retryWindow = std::chrono::seconds(10);
+    /// Limit of hedges in a window, from 0 to 1, as a share of the requests of a service and of
+    /// their slot time; applies in addition to the limit of retries. Without a value, only that one
+    /// applies.
+    std::optional<double> hedgeLimit;
     /// Age of a load report at which a probe refreshes it.
     Duration probeInterval = std::chrono::milliseconds(50);
     /// Limit of probes per second to all servers of a service, such that a small instance can
@@ -179,8 +185,11 @@
     /// Slowdown that the server reported at the start of the attempt; 0 if there was no report.
     double slowdown = 0;
     OrganisationKey organisation = 0;
-    /// Slot time in seconds that the organisation was charged with at the start.
-    double chargedSeconds = 0;
+    /// Duration in seconds that was expected at the start; the organisation was charged with it.
+    double expectedSeconds = 0;
+    bool isHedge = false;
+    /// Slot time in seconds by which HedgeUse was increased at the start.
+    double hedgeUseSeconds = 0;
 };
 
 /// An attempt whose connection ended before an answer.
@@ -267,6 +276,24 @@
     std::array<Slice, slices> window{};
 };
 
+/// Counts requests, hedges and their slot time in slices of the retry window.
+struct HedgeUse
+{
+    struct Slice
+    {
+        std::int64_t index = -1;
+        unsigned requests = 0;
+        unsigned hedges = 0;
+        /// Slot time of all attempts that are not hedges.
+        double requestSeconds = 0;
+        double hedgeSeconds = 0;
+    };
+    static constexpr std::size_t slices = RetryBudget::slices;
+    std::array<Slice, slices> window{};
+    /// Time of the last refusal, because of the limit, of a hedge that could have met its target.
+    TimePoint lastUsefulRefusal{};
+};
+
 /// Recent use of a service by one organisation.
 struct OrganisationUse
 {
@@ -347,6 +374,7 @@
     /// Time of the last pass over the queue.
     TimePoint lastQueuePass;
     RetryBudget budget;
+    HedgeUse hedgeUse;
     Sharing sharing;
     /// Work of the queued requests by priority, as of the last pass and with those queued since.
     /// The last element holds all less urgent priorities. Kept only while organisations share the
@@ -438,6 +466,12 @@
 /// grows, so that requests for hedges do not grow with the duration of attempts.
 Duration hedgeRetryDelay(unsigned refusals);
 
+/// Returns the share of hedges in the requests or in the slot time of the last window, whichever is
+/// larger, as far as \a state knows them.
+double hedgeShare(const ServiceState &state, TimePoint now);
+/// Returns false if \a policy switches hedges off.
+bool allowsHedges(const Policy &policy);
+
 std::string_view outcomeName(AttemptOutcome outcome);
 std::string_view reasonName(RefusalReason reason);
 
--- a/packages/broker/src/dispatch.cpp
+++ b/packages/broker/src/dispatch.cpp
@@ -3,6 +3,7 @@
 #include "coldstart.h"
 #include "crashes.h"
 #include "estimate.h"
+#include "hedging.h"
 #include "serverranking.h"
 #include "sharing.h"
 
@@ -80,7 +81,10 @@
     attempt.factor = choice.seconds / workSeconds(state, request.route, request.objective);
     attempt.slowdown = server.report ? server.report->slowdown : 0;
     attempt.organisation = request.organisation;
-    attempt.chargedSeconds = choice.seconds;
+    attempt.expectedSeconds = choice.seconds;
+    attempt.isHedge = request.isHedge;
+    attempt.hedgeUseSeconds =
+        countAttemptStart(state.hedgeUse, state.policy, request.isHedge, choice.seconds, now);
     if (request.organisation != 0)
         addSlotTime(state.sharing, request.organisation, choice.seconds, now);
     server.activeAttempts.push_back(attempt);
@@ -341,8 +345,11 @@
     for (auto &[key, server] : state.servers) {
         std::erase_if(server.activeAttempts, [&state, now](const ActiveAttempt &each) {
             const bool isExpired = each.expires <= now;
-            if (isExpired)
+            if (isExpired) {
                 state.placements.erase(each.key);
+                const TimePoint started = each.expectedEnd - toDuration(each.expectedSeconds);
+                countAttemptEnd(state.hedgeUse, state.policy, each, now - started, now);
+            }
             return isExpired;
         });
     }
@@ -357,6 +364,8 @@
 
 Decision requestHedge(ServiceState &state, const AttemptRequest &request, TimePoint now)
 {
+    if (!allowsHedges(state.policy))
+        return refuse(request, RefusalReason::HedgeLimit, {}, state.lastLoad);
     const auto hasRoom = [](const ServiceLoad &load) {
         return load.slots - load.taken > minFreeShareForHedge * load.slots;
     };
@@ -367,11 +376,15 @@
     if (!state.queue.empty() && !hasRoom(known))
         return refuse(request, RefusalReason::HedgeNotUseful, {}, known);
     ServerRanking ranking(state, now);
-    const auto choice =
-        ranking.cheapestFree(request, workSeconds(state, request.route, request.objective));
+    const auto avoidedZone =
+        state.policy.hedgeLimit ? zoneOfFirstAttempt(state, request) : std::nullopt;
+    const auto choice = ranking.cheapestFree(
+        request, workSeconds(state, request.route, request.objective), avoidedZone);
     const bool canAnswerInTime = choice && now + toDuration(choice->seconds) < request.deadline;
     if (!hasRoom(ranking.load()) || !canAnswerInTime)
         return refuse(request, RefusalReason::HedgeNotUseful, {}, ranking.load());
+    if (!isWithinHedgeLimit(state, request, choice->seconds, now))
+        return refuse(request, RefusalReason::HedgeLimit, {}, ranking.load());
     if (!tryConsumeRetry(state.budget, state.policy, slackShare(state, now), now))
         return refuse(request, RefusalReason::RetryBudget, {}, ranking.load());
     return grant(state, request, *choice, now);
@@ -412,8 +425,10 @@
     if (request.isHedge)
         return requestHedge(state, request, now);
     recordDemand(state.sharing, request, now);
-    if (request.earlierAttempts == 0)
+    if (request.earlierAttempts == 0) {
         countRequest(state.budget, state.policy, now);
+        countHedgeableRequest(state.hedgeUse, state.policy, now);
+    }
     // While requests are queued, the last pass over the queue tells the load.
     std::optional<ServerRanking> ranking;
     if (state.queue.empty()) {
--- a/packages/broker/src/serverranking.cpp
+++ b/packages/broker/src/serverranking.cpp
@@ -14,6 +14,10 @@
 /// Part of the work time that is added to the cost of a server in another availability zone, so
 /// that traffic crosses availability zones only if the server is faster by more than this.
 constexpr double crossZoneCost = 0.15;
+/// Part of the work time that is added to the cost of a server in an availability zone that is to
+/// be avoided. A server in another zone is used if it costs at most this much more, its distance
+/// included.
+constexpr double avoidedZoneCost = 0.25;
 /// Total delay that an attempt causes to the other attempts on a full server, as a part of its own
 /// duration.
 constexpr double contentionCost = 0.2;
@@ -172,7 +176,8 @@
     return found;
 }
 
-std::optional<ServerChoice> ServerRanking::cheapestFree(const AttemptRequest &request, double work)
+std::optional<ServerChoice> ServerRanking::cheapestFree(const AttemptRequest &request, double work,
+                                                        std::optional<std::uint32_t> avoidedZone)
 {
     std::optional<ServerChoice> best;
     for (Zone &each : m_zones) {
@@ -180,7 +185,8 @@
         if (!entry)
             continue;
         const double distance = each.key == request.zone ? 0 : crossZoneCost;
-        const double cost = work * (entry->relativeCost + distance);
+        const double avoidance = each.key == avoidedZone ? avoidedZoneCost : 0;
+        const double cost = work * (entry->relativeCost + distance + avoidance);
         if (!best || cost < best->cost)
             best = {entry->server, work * entry->durationFactor, cost};
     }
--- a/packages/broker/src/serverranking.h
+++ b/packages/broker/src/serverranking.h
@@ -26,8 +26,10 @@
     /// Returns the number of slots, how many are taken, and the length of the queue.
     [[nodiscard]] const ServiceLoad &load() const { return m_load; }
     /// Returns the free server with the lowest cost. \a work is the expected work of the route in
-    /// seconds.
-    std::optional<ServerChoice> cheapestFree(const AttemptRequest &request, double work);
+    /// seconds. A server in \a avoidedZone is chosen only if those in other availability zones cost
+    /// notably more.
+    std::optional<ServerChoice> cheapestFree(const AttemptRequest &request, double work,
+                                             std::optional<std::uint32_t> avoidedZone = {});
     /// Returns the lowest cost, including the wait, of an attempt on a server that is full now.
     double lowestCostAfterWait(const AttemptRequest &request, double work);
     /// Updates the order after a slot of \a server was granted.
--- a/packages/broker/src/service.cpp
+++ b/packages/broker/src/service.cpp
@@ -3,6 +3,7 @@
 #include "coldstart.h"
 #include "crashes.h"
 #include "estimate.h"
+#include "hedging.h"
 #include "sharing.h"
 
 #include <algorithm>
@@ -61,7 +62,8 @@
 {
     if (attempt.organisation != 0)
         addSlotTime(state.sharing, attempt.organisation,
-                    toSeconds(duration) - attempt.chargedSeconds, now);
+                    toSeconds(duration) - attempt.expectedSeconds, now);
+    countAttemptEnd(state.hedgeUse, state.policy, attempt, duration, now);
 }
 
 } // namespace
@@ -273,6 +275,8 @@
         return "quarantined";
     case RefusalReason::ServersPaused:
         return "servers_paused";
+    case RefusalReason::HedgeLimit:
+        return "hedge_limit";
     }
     return "invalid";
 }
