--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -81,6 +81,19 @@
     return duration - std::min(sendingTime, duration / 2);
 }
 
+/// Returns the outcome of a hedge as the metric names it.
+std::string_view hedgeOutcomeName(broker::AttemptOutcome outcome)
+{
+    switch (outcome) {
+    case broker::AttemptOutcome::Answered:
+        return "won";
+    case broker::AttemptOutcome::Cancelled:
+        return "lost";
+    default:
+        return "failed";
+    }
+}
+
 std::string formatSeconds(Duration duration)
 {
     return fmt::format("{:.3f}", std::chrono::duration<double>(duration).count());
@@ -345,6 +358,9 @@
         return;
     if (isHedge) {
         m_path.countHedgeRefusal(broker::reasonName(slot.reason));
+        // Deferred hedges must not use up the slot requests of a retry.
+        if (slot.reason == broker::RefusalReason::HedgeLimit)
+            --m_slotRequests;
         scheduleHedge(broker::hedgeRetryDelay(++m_hedgeRefusals));
         return;
     }
@@ -434,7 +450,9 @@
         [self = shared_from_this(), index](loop::ClientResult result) {
             self->handleAttemptResult(index, std::move(result));
         });
-    if (m_plan.isIdempotent && !attempt.isHedge && m_attemptsSent < m_plan.maxAttempts) {
+    const bool mayHedge =
+        m_plan.isIdempotent && broker::allowsHedges(m_path.m_context.settings.policy);
+    if (mayHedge && !attempt.isHedge && m_attemptsSent < m_plan.maxAttempts) {
         const auto delay = std::chrono::duration_cast<Duration>(attempt.expected * hedgeFactor);
         scheduleHedge(m_sendingTime + std::max(delay, minHedgeDelay));
     }
@@ -514,6 +532,8 @@
             .number("status", result.response.status)
             .text("detail", result.detail)
             .milliseconds("took", Clock::now() - attempt.started);
+        if (attempt.isHedge)
+            line.flag("hedge", true);
         if (load)
             line.number("running", load->running)
                 .number("waiting", load->waiting)
@@ -565,6 +585,8 @@
     if (!attempt.isRunning)
         return;
     attempt.isRunning = false;
+    if (attempt.isHedge && attempt.connection)
+        m_path.countHedge(hedgeOutcomeName(outcome));
     broker::AttemptEnd end;
     end.server = attempt.key;
     end.outcome = outcome;
@@ -684,6 +706,8 @@
             .text("server", index < m_attempts.size() ? m_attempts[index].server.id : "")
             .number("attempts", m_attemptsSent)
             .milliseconds("took", latency);
+        if (index < m_attempts.size() && m_attempts[index].isHedge)
+            line.flag("hedge", true);
     });
     m_path.countAnswer(response.status, "backend_answer");
     m_path.recordLatency(latency);
@@ -729,6 +753,8 @@
             line.text("server", attempt.server.id)
                 .text("outcome", broker::outcomeName(outcome))
                 .milliseconds("took", Clock::now() - attempt.started);
+            if (attempt.isHedge)
+                line.flag("hedge", true);
         });
         endAttempt(index, outcome, std::nullopt);
     }
--- a/packages/gateway/src/requestpath.cpp
+++ b/packages/gateway/src/requestpath.cpp
@@ -57,6 +57,15 @@
         .add();
 }
 
+void RequestPath::countHedge(std::string_view outcome)
+{
+    m_context
+        .counter("hedges_total",
+                 "Second attempts that were sent while the first one was running, by outcome.",
+                 {{"outcome", std::string(outcome)}})
+        .add();
+}
+
 void RequestPath::countInvalidResponse(std::string_view reason)
 {
     m_context
--- a/packages/gateway/src/requestpath.h
+++ b/packages/gateway/src/requestpath.h
@@ -49,6 +49,7 @@
                                                      bool isPublicRoute) const;
     void countAnswer(int status, std::string_view reason);
     void countHedgeRefusal(std::string_view reason);
+    void countHedge(std::string_view outcome);
     void countInvalidResponse(std::string_view reason);
     void recordLatency(Duration latency);
 
--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -149,6 +149,17 @@
                                   queued += each.state.queue.size();
                               return static_cast<double>(queued);
                           });
+    context.metrics.gauge("apricotrock_hedge_share",
+                          "Largest share of hedges in the requests or slot time of a service that "
+                          "this instance leads, over the retry window.",
+                          {}, [this] {
+                              double share = 0;
+                              for (const auto &[key, each] : m_services)
+                                  if (each.state.isLeading)
+                                      share = std::max(
+                                          share, broker::hedgeShare(each.state, Clock::now()));
+                              return share;
+                          });
     context.metrics.gauge("apricotrock_cold_servers",
                           "Servers with a limit for cold starts that are cold now.", {}, [this] {
                               std::size_t cold = 0;
