--- a/packages/gateway/tests/quotaallocatortest.cpp
+++ b/packages/gateway/tests/quotaallocatortest.cpp
@@ -182,6 +182,23 @@
         node.startAllocator();
         heartbeat(node);
     }
+    /// Kills all instances and starts them within 0.3 s. They learn of each other from the first
+    /// four as in PeerChannel: all instances of their own zone, and a few of each other one.
+    void startAll()
+    {
+        for (const auto &each : m_nodes)
+            kill(*each);
+        for (const auto &each : m_nodes) {
+            schedule(m_now + std::chrono::microseconds(random(300000)), [this, &node = *each] {
+                node.isAlive = true;
+                node.membership = fleet::Membership(infoOf(node.index, node.index + 1000));
+                node.startAllocator();
+                heartbeat(node);
+                for (const Duration delay : {0ms, 150ms, 400ms, 900ms, 2000ms})
+                    runAt(node, m_now + delay, [this, &node] { askSeeds(node); });
+            });
+        }
+    }
     std::vector<std::unique_ptr<Node>> &nodes() { return m_nodes; }
     std::list<Load> &loads() { return m_loads; }
     TimePoint now() const { return m_now; }
@@ -253,12 +270,47 @@
                   receive(to);
               });
     }
+    /// Tells \a ip about \a node, and \a node about it.
+    void sayHello(Node &node, const std::string &ip, bool wantsInstances)
+    {
+        send(node, ip, [this, &node, info = node.membership.self(), wantsInstances](Node &to) {
+            to.membership.updatePeer(info, m_now);
+            send(to, node.ip, [this, &node, answer = to.membership.self()](Node &) {
+                node.membership.updatePeer(answer, m_now);
+            });
+            if (wantsInstances)
+                sendInstances(to, node);
+        });
+    }
+    void sendInstances(Node &from, Node &node)
+    {
+        std::map<std::string, unsigned> contacts;
+        for (const auto &[ip, peer] : from.membership.peers()) {
+            const std::string &zone = peer.info.availabilityZone;
+            if (!peer.isAlive || ip == node.ip
+                || (zone != node.membership.self().availabilityZone && ++contacts[zone] > 4))
+                continue;
+            send(from, node.ip, [this, &node, ip](Node &) {
+                if (!node.membership.peers().contains(ip))
+                    sayHello(node, ip, false);
+            });
+        }
+    }
+    void askSeeds(Node &node)
+    {
+        for (std::size_t seed = 0; seed < 4; ++seed) {
+            if (seed != node.index)
+                sayHello(node, ipOf(seed), true);
+        }
+    }
     void heartbeat(Node &node)
     {
         const auto zone = node.membership.self().availabilityZone;
         const bool usesReports = node.membership.usesZoneReports();
         const auto own = node.membership.instancesInZone(zone);
         for (const auto &other : m_nodes) {
+            if (other.get() != &node && !node.membership.peers().contains(other->ip))
+                continue;
             const bool isInZone = other->membership.self().availabilityZone == zone;
             if (isInZone || !usesReports) {
                 send(node, other->ip, [this, info = node.membership.self()](Node &to) {
@@ -308,7 +360,7 @@
     {
         Node &node = *m_nodes[random(m_nodes.size())];
         if (!node.isAlive) {
-            ask(load, repeats);
+            schedule(m_now + 1ms, [this, &load, repeats] { ask(load, repeats); });
             return;
         }
         runAt(node, m_now, [this, &load, &node, repeats] {
@@ -409,6 +461,7 @@
     CPPUNIT_TEST(unequalOrganisationsGetTheirQuota);
     CPPUNIT_TEST(overloadStaysWithinQuota);
     CPPUNIT_TEST(killedAndRestartedOwner);
+    CPPUNIT_TEST(allInstancesStart);
     CPPUNIT_TEST(frozenOwner);
     CPPUNIT_TEST(isolatedInstances);
     CPPUNIT_TEST(instancesCutOffInOneDirection);
@@ -481,6 +534,18 @@
         assertAtLeast(0.9, grantedBetween(load, 4100ms, 14s) / largeLimit.rate, "granted");
     }
 
+    // Guards against instances that count as owners because they know no others yet.
+    void allInstancesStart()
+    {
+        Fleet fleet(123);
+        auto &load = fleet.addLoad("large", largeLimit, steady(overload), 2);
+        addOthers(fleet);
+        fleet.at(7s, [&] { fleet.startAll(); });
+        fleet.run(14s);
+        assertOthersGranted(fleet, 0.98);
+        assertAtLeast(0.9, grantedBetween(load, 4100ms, 14s) / largeLimit.rate, "granted");
+    }
+
     // Guards against an owner that grants the tokens of the time in which it was frozen, although
     // another one granted them.
     void frozenOwner()
