--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -65,7 +65,7 @@
     double coldStartsPerSecond = 0;
 };
 
-/// A customer whose callers authenticate with API keys.
+/// A group of callers that authenticate with the API keys of one name and share a usage cap.
 struct Organisation
 {
     std::string name;
