Gateway: Use quota::Bounds in the settings

GatewaySettings had a QuotaBounds with the same fields as quota::Bounds, and gateway.cpp converted one into the other field by field. The settings hold quota::Bounds now and pass it on as it is. The decoder of the settings is unchanged, as the names of the fields are the same.

No change of behaviour.

--- a/packages/gateway/include/apricotrock/gateway.h
+++ b/packages/gateway/include/apricotrock/gateway.h
@@ -4,6 +4,7 @@
 #include "apricotrock/fleet.h"
 #include "apricotrock/loop.h"
 #include "apricotrock/metrics.h"
+#include "apricotrock/quota.h"
 
 /// The request path of an entry instance on one event loop.
 ///
@@ -37,15 +38,6 @@
     std::string coldRemainingMs;
 };
 
-/// Bounds of the requests of an organisation in any window, summed over all instances:
-/// (rate * window + burst) * (1 + overage) + slack.
-struct QuotaBounds
-{
-    Duration window = std::chrono::seconds(5);
-    double overage = 0.1;
-    double slack = 20;
-};
-
 enum class Topic { Configuration, BackendServers, Instances };
 
 struct StoredRecord
@@ -124,7 +116,8 @@
     /// Maximum time from the stop signal to the end of the process.
     Duration shutdownTimeout = std::chrono::seconds(6);
     broker::Policy policy;
-    QuotaBounds quota;
+    /// Bounds of the requests of an organisation, summed over all instances.
+    quota::Bounds quota;
     /// Time after the acknowledgement of a configuration at which it must be in force.
     Duration configurationBound = std::chrono::milliseconds(2500);
     /// Memory for responses of backend servers, from their first byte until the caller has them.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -71,8 +71,7 @@
                       tables.handleLeaving({leaving}, "response", tellsOthers);
                   }},
           peers(context, peerHandlers()), slotAllocator(context, peers),
-          quotaAllocator(quotaEnvironment(), peers, context.metrics,
-                         {settings.quota.window, settings.quota.overage, settings.quota.slack},
+          quotaAllocator(quotaEnvironment(), peers, context.metrics, settings.quota,
                          firstTicket(context.membership.self().incarnation),
                          std::random_device{}()),
           pool(context), path(context, slotAllocator, quotaAllocator, pool),
