Gateway: Encode leaving servers in one place

Leaving servers were copied into wire::LeavingServerT and back by PeerChannel and again by TableSync. leavingexchange.h holds one function for each direction, as evacuationexchange.h does for evacuations.

TableSync::encodedTables() called state() for each record, which reads the clock and may look up the reader each time. The era that the loop needs is the one of the state that the message carries.

No change of behaviour.

--- a/packages/gateway/src/peerchannel.cpp
+++ b/packages/gateway/src/peerchannel.cpp
@@ -1,6 +1,7 @@
 #include "peerchannel.h"
 
 #include "evacuationexchange.h"
+#include "leavingexchange.h"
 
 #include <fmt/format.h>
 
@@ -58,19 +59,11 @@
 
 /// Adds the servers from \a first on to \a message, up to the size of a datagram, and returns the
 /// index of the next one.
-std::size_t addLeaving(const std::vector<fleet::LeavingServer> &servers, std::size_t first,
-                       wire::GatewayMessageT &message)
+std::size_t addLeavingFrom(const std::vector<fleet::LeavingServer> &servers, std::size_t first,
+                           wire::GatewayMessageT &message)
 {
     const std::size_t end = std::min(servers.size(), first + leavingPerDatagram);
-    for (std::size_t i = first; i < end; ++i) {
-        auto leaving = std::make_unique<wire::LeavingServerT>();
-        leaving->id = servers[i].id;
-        leaving->process_start_ms = servers[i].processStartMs;
-        leaving->obsolete_sequence = servers[i].obsoleteSequence;
-        leaving->obsolete_era = servers[i].obsoletePosition.era;
-        leaving->obsolete_offset = servers[i].obsoletePosition.offset;
-        message.leaving.push_back(std::move(leaving));
-    }
+    addLeaving(std::span(servers).subspan(first, end - first), message);
     return end;
 }
 
@@ -257,7 +250,7 @@
     std::size_t next = 0;
     while (next < servers.size()) {
         wire::GatewayMessageT message = ownState(false);
-        next = addLeaving(servers, next, message);
+        next = addLeavingFrom(servers, next, message);
         broadcastTables(message);
     }
 }
@@ -372,7 +365,7 @@
     std::size_t next = 0;
     while (next < leaving.size()) {
         message = ownState(false);
-        next = addLeaving(leaving, next, message);
+        next = addLeavingFrom(leaving, next, message);
         send(ip, message);
     }
     const std::vector<wire::CrashReportT> crashes =
@@ -565,15 +558,8 @@
         handleZoneReport(*message.zone_report);
     for (const auto &each : message.instances)
         addPeer(each->ip, each->availability_zone, false);
-    if (!message.leaving.empty()) {
-        std::vector<fleet::LeavingServer> leaving;
-        for (const auto &each : message.leaving)
-            leaving.push_back({each->id,
-                               each->process_start_ms,
-                               each->obsolete_sequence,
-                               {each->obsolete_era, each->obsolete_offset}});
-        m_handlers.leaving(leaving);
-    }
+    if (!message.leaving.empty())
+        m_handlers.leaving(leavingOf(message));
     for (const auto &each : message.crashes)
         m_handlers.crash(*each);
     for (const wire::SlotRelease &each : message.ends)
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -1,6 +1,7 @@
 #include "tablesync.h"
 
 #include "evacuationexchange.h"
+#include "leavingexchange.h"
 
 #include <algorithm>
 #include <zlib.h>
@@ -386,13 +387,7 @@
     // The servers that a table of an older era does not hold may have registered since.
     if (m_context.servers.hasSnapshot() && end.era < m_context.servers.position().era)
         return;
-    std::vector<fleet::LeavingServer> leaving;
-    for (const auto &each : message.leaving)
-        leaving.push_back({each->id,
-                           each->process_start_ms,
-                           each->obsolete_sequence,
-                           {each->obsolete_era, each->obsolete_offset}});
-    handleLeaving(leaving, "peer", false);
+    handleLeaving(leavingOf(message), "peer", false);
     handleEra(end.era, ip);
     applyServers(*updates, {}, end, true, "peer");
 }
@@ -420,27 +415,19 @@
     wire::GatewayMessageT message;
     message.tables = std::make_unique<wire::TableState>(state());
     addEvacuations(m_context.evacuations, message);
+    const bool hasEra = message.tables->store_era() > 0;
     std::vector<StoredRecord> updates;
     const auto &servers = m_context.servers.servers();
     for (const auto &[id, record] : m_records) {
         const auto known = servers.find(id);
         // A record that is missing from the first read of a new era belongs to an older one.
-        const bool isLost =
-            state().store_era() > 0 && (known == servers.end() || !known->second.record.entry);
+        const bool isLost = hasEra && (known == servers.end() || !known->second.record.entry);
         if (record.value && !isLost)
             updates.push_back(record);
     }
     packUpdates(updates, message);
     // The receiver may read records from a copy that are obsolete.
-    for (const fleet::LeavingServer &each : m_context.servers.leavingServers()) {
-        auto leaving = std::make_unique<wire::LeavingServerT>();
-        leaving->id = each.id;
-        leaving->process_start_ms = each.processStartMs;
-        leaving->obsolete_sequence = each.obsoleteSequence;
-        leaving->obsolete_era = each.obsoletePosition.era;
-        leaving->obsolete_offset = each.obsoletePosition.offset;
-        message.leaving.push_back(std::move(leaving));
-    }
+    addLeaving(m_context.servers.leavingServers(), message);
     flatbuffers::FlatBufferBuilder builder(4096);
     builder.Finish(wire::GatewayMessage::Pack(builder, &message), wire::GatewayMessageIdentifier());
     m_encodedTables.assign(reinterpret_cast<const char *>(builder.GetBufferPointer()),
