Fleet: Answer which part of the fleet is reached in Membership

SlotAllocator::coldStartShare() counted the known and the reached peers in a loop of its own, beside Membership::contact(), which the quotas use. It uses Membership::recentContact() now, which adds to contact() what the limits for cold servers need: an instance that heard nobody for 1.2 s reaches only itself, and peers that were added but have not sent a message yet count as known. The latter is kept because an instance that has just started would otherwise take the few peers that it has heard for the whole fleet.

What changes in the edge: lost peers count as known until 12 s after they count as lost, which is 13.75 to 16.5 s after their last message, instead of 15 s after it. Peers that were never heard count for 12 s instead of 15 s after they were added. Instances that announced that they leave no longer count when they are lost.

fleet_test passes with a new test of these cases.

--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -32,6 +32,9 @@
 /// Instances that were lost less than this ago count as known: as long as a part of the fleet is
 /// expected to be cut off.
 constexpr Duration lostPeerWindow = seconds(12);
+/// An instance that heard no peer for this long reaches only itself in recentContact(): two
+/// heartbeat intervals and the scheduling delay of a small machine.
+constexpr Duration recentContactTimeout = milliseconds(1200);
 
 /// Returns the weighted rendezvous score: the share of roles of an instance is proportional to its
 /// weight.
@@ -61,6 +64,13 @@
     return !peer.isAlive && peer.lostAt && now - *peer.lostAt < lostPeerWindow;
 }
 
+/// True if the peer was added a short time ago and has not sent a message yet.
+bool isExpected(const Peer &peer, TimePoint now)
+{
+    return !peer.isAlive && !peer.lostAt && peer.info.phase < InstancePhase::Leaving
+        && now - peer.lastHeard < lostPeerWindow;
+}
+
 } // namespace
 
 bool Membership::addPeer(const InstanceInfo &info, TimePoint now)
@@ -267,6 +277,19 @@
     return contact;
 }
 
+FleetContact Membership::recentContact(TimePoint now) const
+{
+    FleetContact recent = contact(now);
+    bool isHeard = false;
+    for (const auto &[ip, peer] : m_peers) {
+        recent.known += isExpected(peer, now) ? 1 : 0;
+        isHeard = isHeard || now - peer.lastHeard < recentContactTimeout;
+    }
+    if (!isHeard)
+        recent.alive = 1;
+    return recent;
+}
+
 std::vector<std::string> Membership::otherServing(TimePoint now) const
 {
     std::vector<std::string> alive;
--- a/packages/fleet/tests/membershiptest.cpp
+++ b/packages/fleet/tests/membershiptest.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(startingInstancesAgreeOnALeader);
     CPPUNIT_TEST(leaderFollowsEveryChangeOfTheCandidates);
     CPPUNIT_TEST(recentlyLostInstancesAreKnown);
+    CPPUNIT_TEST(instanceThatHearsNobodyReachesOnlyItself);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -76,6 +77,38 @@
         CPPUNIT_ASSERT(!membership.contact(start + 16s).hasLostHalf());
     }
 
+    // Guards against an instance that uses the limits of the whole fleet after it was cut off,
+    // until its peers count as lost, or after its start, until it has heard those that it was told
+    // of.
+    void instanceThatHearsNobodyReachesOnlyItself()
+    {
+        const auto expectContact = [](const FleetContact &contact, std::size_t alive,
+                                      std::size_t known) {
+            CPPUNIT_ASSERT_EQUAL(alive, contact.alive);
+            CPPUNIT_ASSERT_EQUAL(known, contact.known);
+        };
+        Membership membership(makeInfo("10.0.0.1"));
+        expectContact(membership.recentContact(m_now), 1, 1);
+        for (int i = 2; i <= 5; ++i)
+            membership.addPeer(makeInfo("10.0.0." + std::to_string(i)), m_now);
+        expectContact(membership.recentContact(m_now), 1, 5);
+        for (int i = 2; i <= 4; ++i)
+            membership.updatePeer(makeInfo("10.0.0." + std::to_string(i)), m_now);
+        membership.updatePeer(makeInfo("10.0.0.4", InstancePhase::Leaving), m_now);
+        expectContact(membership.recentContact(m_now + 1199ms), 4, 5);
+        expectContact(membership.recentContact(m_now + 1200ms), 1, 5);
+        expectContact(membership.contact(m_now + 1200ms), 4, 4);
+        membership.updatePeer(makeInfo("10.0.0.2"), m_now + 1300ms);
+        expectContact(membership.recentContact(m_now + 1300ms), 4, 5);
+        // The instance that announced its stop no longer counts when it is lost.
+        membership.expire(m_now + 2s);
+        expectContact(membership.recentContact(m_now + 2s), 2, 4);
+        expectContact(membership.recentContact(m_now + 12s), 1, 3);
+        membership.expire(m_now + 12s);
+        expectContact(membership.recentContact(m_now + 14s), 1, 2);
+        expectContact(membership.recentContact(m_now + 24s), 1, 1);
+    }
+
     // Guards against a start at which each instance takes itself for the leader, so that all of
     // them read the store and probe the servers.
     void startingInstancesAgreeOnALeader()
--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -26,12 +26,6 @@
 constexpr std::array<Duration, 2> crashReportRepetitions = {milliseconds(300), milliseconds(1000)};
 /// Bound of the reports about services that are not known yet.
 constexpr std::size_t maxEarlyCrashReports = 1000;
-/// Peers that were not heard for this long count as lost for cold servers: two heartbeat intervals
-/// and the scheduling delay of a small machine.
-constexpr Duration contactTimeout = milliseconds(1200);
-/// Lost peers count as part of the fleet for this long, because they may lead a part of it that
-/// is cut off. Must cover the longest separation that the limits have to hold for (12 s).
-constexpr Duration lostPeerRetention = milliseconds(15000);
 /// From this part of the fleet on, a leader uses the whole limits for cold servers.
 constexpr double fullFleetShare = 0.95;
 /// The servers of a service are not probed when nobody has requested a slot for this long.
@@ -287,20 +281,8 @@
 
 double SlotAllocator::coldStartShare(TimePoint now) const
 {
-    double known = 1;
-    double reached = 1;
-    bool isHeard = false;
-    for (const auto &[ip, peer] : m_context.membership.peers()) {
-        const Duration silence = now - peer.lastHeard;
-        const bool hasStopped = peer.info.phase == fleet::InstancePhase::Stopped;
-        isHeard = isHeard || silence < contactTimeout;
-        known += !hasStopped && (peer.isAlive || silence < lostPeerRetention) ? 1 : 0;
-        reached += peer.isAlive ? 1 : 0;
-    }
-    // The time-outs of the membership are longer than the bound for cold servers allows.
-    if (known > 1 && !isHeard)
-        reached = 1;
-    const double share = reached / known;
+    const fleet::FleetContact contact = m_context.membership.recentContact(now);
+    const double share = static_cast<double>(contact.alive) / static_cast<double>(contact.known);
     return share >= fullFleetShare ? 1.0 : share;
 }
 
