Gateway: Parse numbers of headers in one place

Retry-After and the remaining time of a cold server are both a decimal number of at least 0 with a maximum, and each had its own parser. Both use parseHeaderNumber() now.

Three edges had to follow the other parser: - "inf" as the time of a cold server is invalid, as in Retry-After. It counted as the maximum. - A number beyond the range of double counts as the maximum for a cold server, as in Retry-After. It was invalid. - A negative number beyond that range is invalid in Retry-After, as all negative numbers are. It counted as the maximum.

--- a/packages/gateway/src/call.cpp
+++ b/packages/gateway/src/call.cpp
@@ -1,7 +1,8 @@
 #include "call.h"
 
+#include "headernumber.h"
+
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <fmt/format.h>
 
@@ -66,16 +67,10 @@
 /// and negative numbers included, because a pause of unknown length cannot be kept.
 std::optional<Duration> parseRetryAfter(std::string_view text)
 {
-    double seconds = 0;
-    const auto [end, error] =
-        std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
-    const bool isTooLarge = error == std::errc::result_out_of_range;
-    if ((error != std::errc() && !isTooLarge) || end != text.data() + text.size())
-        return std::nullopt;
-    if (!isTooLarge && (!std::isfinite(seconds) || seconds < 0))
+    const std::optional<double> seconds = parseHeaderNumber(text, maxPauseSeconds);
+    if (!seconds)
         return std::nullopt;
-    const double bounded = isTooLarge ? maxPauseSeconds : std::min(seconds, maxPauseSeconds);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bounded));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*seconds));
 }
 
 /// Returns the part of the duration of an attempt that was spent on the backend server. The body
--- a/packages/gateway/src/prober.cpp
+++ b/packages/gateway/src/prober.cpp
@@ -1,6 +1,6 @@
 #include "prober.h"
 
-#include <charconv>
+#include "headernumber.h"
 
 namespace apricotrock::gateway {
 
@@ -22,13 +22,10 @@
 {
     if (!header)
         return Duration(0);
-    double value = 0;
-    const char *end = header->data() + header->size();
-    const auto parsed = std::from_chars(header->data(), end, value, std::chars_format::fixed);
-    if (parsed.ec != std::errc() || parsed.ptr != end || !(value >= 0))
+    const std::optional<double> value = parseHeaderNumber(*header, maxColdMs);
+    if (!value)
         return std::nullopt;
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(std::min(value, maxColdMs)));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(*value));
 }
 
 } // namespace
