Gateway: Read the clock once when the servers have changed

Gateway::Private::serversChanged() read the clock for each backend server. One time for all of them is as good, and all are checked as of the same moment.

No other change of behaviour.

--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -155,8 +155,9 @@
 
     void serversChanged()
     {
+        const TimePoint now = Clock::now();
         for (const auto &[id, server] : context.servers.servers()) {
-            if (server.entry && !isUsable(context, server, Clock::now()))
+            if (server.entry && !isUsable(context, server, now))
                 pool.clear(*server.entry);
         }
         slotAllocator.updateServers();
