--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -484,10 +484,10 @@
     /// Returns the number of live instances, including this one.
     [[nodiscard]] std::size_t aliveCount() const;
     [[nodiscard]] FleetContact contact(TimePoint now) const;
-    /// Returns the contact for limits that a separated part of the fleet must not exceed even before
-    /// its peers count as lost: an instance that heard nobody for 1.2 s reaches only itself. Peers
-    /// that were added less than 12 s ago and have not sent a message yet count as known, because
-    /// they may lead another part.
+    /// Returns the contact for limits that a separated part of the fleet must not exceed even
+    /// before its peers count as lost: an instance that heard nobody for 1.2 s reaches only itself.
+    /// Peers that were added less than 12 s ago and have not sent a message yet count as known,
+    /// because they may lead another part.
     [[nodiscard]] FleetContact recentContact(TimePoint now) const;
     /// Returns the IP numbers of the other instances that accept connections from callers: those
     /// alive, or if there are none, those that count as known in contact().
