Gateway: Split slotallocator.cpp by topic

Except for the functions for the response and the release, the lines are moved unchanged. The class is unchanged.

--- a/packages/gateway/src/slotallocator.cpp
+++ b/packages/gateway/src/slotallocator.cpp
@@ -1,9 +1,11 @@
 #include "slotallocator.h"
 
 #include "evacuationexchange.h"
+#include "slotmessages.h"
 
 #include <algorithm>
 
+// Services that this instance leads, their queues and crashes; slotrequests.cpp requests slots.
 namespace apricotrock::gateway {
 
 namespace {
@@ -11,13 +13,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-/// A leader that does not answer a slot request within this time is bypassed. Covers several round
-/// trips between availability zones and the scheduling delay of a small machine.
-constexpr Duration requestTimeout = milliseconds(40);
-/// Queued slot requests are resent at this interval, in case the leader or a datagram was lost.
-constexpr Duration queuedResendInterval = milliseconds(400);
-/// An instance that did not answer is not chosen as leader for this long.
-constexpr Duration suspicionDuration = milliseconds(600);
 /// Interval of passes over the queue, to handle requests whose latency target has passed.
 constexpr Duration queuePassInterval = milliseconds(5);
 /// After a slot request of a peer, this instance counts as leader of the service for this long.
@@ -31,85 +26,6 @@
 /// The servers of a service are not probed when nobody has requested a slot for this long.
 constexpr Duration idleProbeTime = milliseconds(5000);
 
-std::int32_t toMicroseconds(Duration duration)
-{
-    const auto count = std::chrono::duration_cast<microseconds>(duration).count();
-    return static_cast<std::int32_t>(std::clamp<std::int64_t>(count, INT32_MIN, INT32_MAX));
-}
-
-wire::SlotRequest encodeRequest(std::uint64_t ticket, const AllocationRequest &request,
-                                TimePoint now)
-{
-    const broker::AttemptRequest &ask = request.attempt;
-    return {ticket,
-            serviceKey(request.service),
-            ask.route,
-            ask.fingerprint,
-            ask.excluded[0],
-            ask.excluded[1],
-            ask.excluded[2],
-            static_cast<std::uint32_t>(toMicroseconds(ask.objective)),
-            toMicroseconds(ask.target - now),
-            toMicroseconds(ask.deadline - now),
-            ask.zone,
-            ask.organisation,
-            static_cast<float>(ask.weight),
-            static_cast<std::uint8_t>(std::min(ask.priority, 255U)),
-            static_cast<std::uint8_t>(std::min(ask.earlierAttempts, 255U)),
-            ask.isHedge};
-}
-
-broker::AttemptRequest decodeRequest(const std::string &ip, const wire::SlotRequest &message,
-                                     TimePoint now)
-{
-    broker::AttemptRequest ask;
-    ask.key = {instanceKey(ip), message.ticket()};
-    ask.route = message.route();
-    ask.fingerprint = message.fingerprint();
-    ask.priority = message.priority();
-    ask.earlierAttempts = message.earlier_attempts();
-    ask.isHedge = message.is_hedge();
-    ask.objective = microseconds(message.objective_us());
-    ask.target = now + microseconds(message.target_us());
-    ask.deadline = now + microseconds(message.deadline_us());
-    ask.zone = message.zone();
-    ask.organisation = message.organisation();
-    ask.weight = message.weight();
-    ask.excluded = {message.excluded_1(), message.excluded_2(), message.excluded_3()};
-    return ask;
-}
-
-wire::SlotRelease encodeRelease(const SlotTicket &ticket, const broker::AttemptEnd &end,
-                                const fleet::ServerEntry *leaving = nullptr)
-{
-    const broker::LoadReport load = end.load.value_or(broker::LoadReport());
-    const auto pause = std::chrono::duration_cast<milliseconds>(end.pause).count();
-    return {ticket.number,
-            serviceKey(ticket.service),
-            end.server,
-            static_cast<std::uint32_t>(toMicroseconds(end.duration)),
-            static_cast<std::uint16_t>(load.running),
-            static_cast<std::uint16_t>(load.waiting),
-            static_cast<std::uint16_t>(load.slots),
-            static_cast<std::uint16_t>(load.slowdown * 100),
-            static_cast<std::uint8_t>(end.outcome),
-            end.load.has_value(),
-            leaving != nullptr,
-            static_cast<std::uint32_t>(std::clamp<std::int64_t>(pause, 0, UINT32_MAX)),
-            leaving ? leaving->processStartMs : 0};
-}
-
-wire::CrashReportT encodeCrashReport(std::uint64_t service, const broker::CrashReport &report)
-{
-    wire::CrashReportT message;
-    message.service = service;
-    message.fingerprint = report.fingerprint;
-    message.processes = report.processes;
-    message.age_ms =
-        static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(report.age).count());
-    return message;
-}
-
 } // namespace
 
 SlotAllocator::SlotAllocator(Context &context, PeerChannel &peers)
@@ -315,91 +231,6 @@
         updateLeader(each, now);
 }
 
-SlotTicket SlotAllocator::requestSlot(AllocationRequest request, Callback callback)
-{
-    const TimePoint now = Clock::now();
-    const std::uint64_t ticket = m_nextTicket++;
-    SlotTicket result{ticket, request.service};
-    ServiceSlots &service = serviceSlots(request.service);
-    updateLeader(service, now);
-    request.attempt.key = {instanceKey(m_context.settings.ip), ticket};
-    request.attempt.zone = zoneKey(m_context.settings.availabilityZone);
-    PendingRequest &pending = m_pendingRequests[ticket];
-    pending.request = std::move(request);
-    pending.callback = std::move(callback);
-    pending.leader = service.leader;
-    if (pending.leader == m_context.settings.ip) {
-        m_localRequests.add();
-        decideLocally(ticket, DecidedBy::Self);
-    } else {
-        m_remoteRequests.add();
-        sendRequest(ticket);
-    }
-    return result;
-}
-
-void SlotAllocator::sendRequest(std::uint64_t ticket)
-{
-    PendingRequest &pending = m_pendingRequests.at(ticket);
-    const TimePoint now = Clock::now();
-    ++pending.sendCount;
-    m_peers.sendSlotRequest(pending.leader, encodeRequest(ticket, pending.request, now));
-    pending.timer = m_context.timers.callAfter(requestTimeout,
-                                               [this, ticket] { handleRequestTimeout(ticket); });
-}
-
-bool SlotAllocator::suspectIfSilent(const std::string &ip)
-{
-    const TimePoint now = Clock::now();
-    const auto peer = m_context.membership.peers().find(ip);
-    if (peer != m_context.membership.peers().end()
-        && now - peer->second.lastHeard <= requestTimeout)
-        return false;
-    m_context.membership.markSuspect(ip, suspicionDuration, now);
-    updateLeaders();
-    return true;
-}
-
-void SlotAllocator::handleRequestTimeout(std::uint64_t ticket)
-{
-    const auto found = m_pendingRequests.find(ticket);
-    if (found == m_pendingRequests.end())
-        return;
-    const std::string leader = found->second.leader;
-    if (suspectIfSilent(leader)) {
-        m_context.log.write(EventLog::Level::Warning, "slot_holder_silent", [&](LogLine &line) {
-            line.text("holder", leader)
-                .text("service", found->second.request.service)
-                .number("ticket", static_cast<std::int64_t>(ticket));
-        });
-    }
-    fallBackToLocal(ticket);
-}
-
-void SlotAllocator::fallBackToLocal(std::uint64_t ticket)
-{
-    // The leader may have granted a slot in a response that was lost; release it.
-    PendingRequest &pending = m_pendingRequests.at(ticket);
-    broker::AttemptEnd end;
-    end.outcome = broker::AttemptOutcome::Cancelled;
-    m_peers.sendSlotRelease(pending.leader, encodeRelease({ticket, pending.request.service}, end));
-    m_fallbackRequests.add();
-    decideLocally(ticket, DecidedBy::Fallback);
-}
-
-void SlotAllocator::decideLocally(std::uint64_t ticket, DecidedBy by)
-{
-    PendingRequest &pending = m_pendingRequests.at(ticket);
-    pending.leader = m_context.settings.ip;
-    ServiceSlots &service = serviceSlots(pending.request.service);
-    const broker::Decision decision = decide(service, pending.request.attempt);
-    if (decision.verdict == broker::Verdict::Queued) {
-        processQueue(service);
-        return;
-    }
-    complete(ticket, {decision, by, m_context.settings.ip});
-}
-
 broker::Decision SlotAllocator::decide(ServiceSlots &service, const broker::AttemptRequest &request)
 {
     service.lastRequest = Clock::now();
@@ -407,59 +238,12 @@
     return broker::requestAttempt(service.state, request, Clock::now());
 }
 
-void SlotAllocator::complete(std::uint64_t ticket, const SlotDecision &decision)
-{
-    const auto found = m_pendingRequests.find(ticket);
-    if (found == m_pendingRequests.end())
-        return;
-    m_context.timers.cancel(found->second.timer);
-    const Callback callback = std::move(found->second.callback);
-    m_pendingRequests.erase(found);
-    callback(decision);
-}
-
-void SlotAllocator::cancel(const SlotTicket &ticket)
-{
-    const auto found = m_pendingRequests.find(ticket.number);
-    if (found == m_pendingRequests.end())
-        return;
-    broker::AttemptEnd end;
-    end.key = found->second.request.attempt.key;
-    end.outcome = broker::AttemptOutcome::Cancelled;
-    if (found->second.leader == m_context.settings.ip)
-        broker::withdraw(serviceSlots(ticket.service).state, end.key);
-    else
-        m_peers.sendSlotRelease(found->second.leader, encodeRelease(ticket, end));
-    m_context.timers.cancel(found->second.timer);
-    m_pendingRequests.erase(found);
-}
-
 Duration SlotAllocator::remainingPause(const std::string &service, broker::ServerKey server)
 {
     return broker::remainingPause(serviceSlots(service).state, instanceKey(m_context.settings.ip),
                                   server, Clock::now());
 }
 
-void SlotAllocator::finishAttempt(const SlotTicket &ticket, broker::AttemptEnd end,
-                                  const fleet::ServerEntry *leaving)
-{
-    end.key = {instanceKey(m_context.settings.ip), ticket.number};
-    ServiceSlots &service = serviceSlots(ticket.service);
-    const auto remote = m_remoteGrants.find(ticket.number);
-    const bool isRemote = remote != m_remoteGrants.end();
-    if (isRemote) {
-        m_peers.sendSlotRelease(remote->second, encodeRelease(ticket, end, leaving));
-        m_remoteGrants.erase(remote);
-    }
-    // The instance that granted the slot tells the others.
-    if (leaving)
-        m_context.serverLeaving({leaving->id, leaving->processStartMs}, !isRemote);
-    // Updates the local state too, for slots that this instance has to grant by itself later.
-    broker::recordAttemptEnd(service.state, end, Clock::now());
-    shareCrashes(service);
-    processQueue(service);
-}
-
 void SlotAllocator::learnLoad(const std::string &service, broker::ServerKey server,
                               const broker::LoadReport &load)
 {
@@ -596,14 +380,7 @@
 
 void SlotAllocator::sendSlotResponse(const std::string &ip, const broker::Decision &decision)
 {
-    m_peers.sendSlotResponse(
-        ip,
-        {decision.key.ticket, decision.server,
-         static_cast<std::uint32_t>(toMicroseconds(decision.expected)),
-         static_cast<std::uint32_t>(toMicroseconds(decision.retryAfter)),
-         toMicroseconds(decision.reportAge), static_cast<std::uint8_t>(decision.verdict),
-         static_cast<std::uint8_t>(decision.reason), static_cast<std::uint16_t>(decision.slots),
-         static_cast<std::uint16_t>(decision.taken), static_cast<std::uint16_t>(decision.waiting)});
+    m_peers.sendSlotResponse(ip, encodeResponse(decision));
 }
 
 void SlotAllocator::handleRequest(const std::string &ip, const wire::SlotRequest &message)
@@ -630,70 +407,12 @@
         processQueue(*service);
 }
 
-void SlotAllocator::handleResponse(const std::string &ip, const wire::SlotResponse &answer)
-{
-    broker::Decision decision;
-    decision.key = {instanceKey(m_context.settings.ip), answer.ticket()};
-    decision.verdict = static_cast<broker::Verdict>(answer.verdict());
-    decision.reason = static_cast<broker::RefusalReason>(answer.reason());
-    decision.server = answer.server();
-    decision.expected = microseconds(answer.expected_us());
-    decision.retryAfter = microseconds(answer.retry_after_us());
-    decision.reportAge = microseconds(answer.report_age_us());
-    decision.slots = answer.slots();
-    decision.taken = answer.taken();
-    decision.waiting = answer.waiting();
-    const std::uint64_t ticket = answer.ticket();
-    const auto found = m_pendingRequests.find(ticket);
-    const bool isExpected = found != m_pendingRequests.end() && found->second.leader == ip;
-    if (!isExpected) {
-        if (decision.verdict == broker::Verdict::Granted)
-            releaseUnclaimed(ip, decision);
-        return;
-    }
-    if (decision.verdict == broker::Verdict::Queued) {
-        m_context.timers.cancel(found->second.timer);
-        found->second.timer = m_context.timers.callAfter(queuedResendInterval, [this, ticket] {
-            const auto pending = m_pendingRequests.find(ticket);
-            if (pending != m_pendingRequests.end())
-                sendRequest(ticket);
-        });
-        return;
-    }
-    if (decision.verdict == broker::Verdict::Granted)
-        m_remoteGrants[ticket] = ip;
-    complete(ticket, {decision, DecidedBy::Peer, ip});
-}
-
-void SlotAllocator::releaseUnclaimed(const std::string &ip, const broker::Decision &decision)
-{
-    // A response to a repeated request can arrive while the attempt uses the slot.
-    if (m_remoteGrants.contains(decision.key.ticket))
-        return;
-    m_lateGrants.add();
-    const fleet::KnownServer *server = findServer(decision.server);
-    if (!server || !server->entry)
-        return;
-    broker::AttemptEnd end;
-    end.outcome = broker::AttemptOutcome::Cancelled;
-    m_peers.sendSlotRelease(ip, encodeRelease({decision.key.ticket, server->entry->service}, end));
-}
-
 void SlotAllocator::handleRelease(const std::string &ip, const wire::SlotRelease &message)
 {
     ServiceSlots *service = findServiceSlots(message.service());
     if (!service)
         return;
-    broker::AttemptEnd end;
-    end.key = {instanceKey(ip), message.ticket()};
-    end.server = message.server();
-    end.outcome = static_cast<broker::AttemptOutcome>(message.outcome());
-    end.duration = microseconds(message.duration_us());
-    if (message.has_load()) {
-        end.load = broker::LoadReport{message.running(), message.waiting(), message.slots(),
-                                      message.slowdown_percent() / 100.0};
-    }
-    end.pause = milliseconds(message.pause_ms());
+    const broker::AttemptEnd end = decodeRelease(ip, message);
     const fleet::KnownServer *server = findServer(end.server);
     if (message.is_leaving() && server)
         m_context.serverLeaving({server->record.id, message.process_start_ms()}, true);
