Gateway: Split tablesync.cpp by topic

Two constants that several of these files need are in tablesync.h.

Otherwise the lines are moved unchanged. The class is unchanged.

--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <zlib.h>
 
-// Exchange of tables between instances; tablesync.cpp reads the store.
+// Exchange of tables between instances; tablesync.cpp decides when the store is read.
 namespace apricotrock::gateway {
 
 namespace {
--- a/packages/gateway/src/tablesync.cpp
+++ b/packages/gateway/src/tablesync.cpp
@@ -1,17 +1,17 @@
 #include "tablesync.h"
 
-#include "evacuationexchange.h"
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 
+// Decides when tables are read from the store or fetched from a peer, and finds instances in the
+// store. serversync.cpp and configurationsync.cpp read the tables, tableexchange.cpp exchanges them
+// with other instances.
 namespace apricotrock::gateway {
 
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 constexpr Duration tickInterval = milliseconds(50);
 /// An instance that has not heard from the reader for this long reads the store itself.
@@ -19,15 +19,8 @@
 /// In large fleets two instances of a zone read for the others of it, which wait for them this much
 /// longer.
 constexpr Duration zoneReaderDelay = milliseconds(600);
-/// Delay after a failed read; doubles with each further failure.
-constexpr Duration initialRetryDelay = milliseconds(200);
-constexpr unsigned maxRetryDoublings = 3;
-/// Long-poll time of a read of the configuration. Together with the call timeout it stays below the
-/// two seconds within which a version must be in force, even if the connection stops responding.
-constexpr Duration configurationLongPollTimeout = milliseconds(1200);
 /// Interval of configuration reads by an instance that has lost contact with the reader.
 constexpr Duration configurationInterval = milliseconds(800);
-constexpr Duration retryInterval = milliseconds(300);
 constexpr unsigned maxSnapshotDoublings = 2;
 /// An instance may become the reader this long after it received its tables, when it knows most of
 /// the other instances.
@@ -36,12 +29,6 @@
 /// takes longer until all agree on the reader.
 constexpr Duration smallFleetStartupGrace = milliseconds(800);
 constexpr Duration largeFleetStartupGrace = milliseconds(2000);
-/// Minimum interval of reads, so that servers that register at the same time are read in one call.
-constexpr Duration minReadInterval = milliseconds(100);
-/// Minimum intervals in fleets that use zone reports: for the reader, and for an instance that has
-/// missed updates; the latter is longer because many instances may miss them at the same time.
-constexpr Duration largeFleetReadInterval = milliseconds(300);
-constexpr Duration largeFleetOwnReadInterval = milliseconds(1000);
 /// Instances are looked up in the store if no seed has named any within this time, plus a random
 /// part of the second: the first to look register, and the others find them.
 constexpr Duration seedTimeout = milliseconds(600);
@@ -64,10 +51,6 @@
 /// time, so that it does not get all reads at once.
 constexpr Duration smallFleetRereadSpread = milliseconds(100);
 constexpr Duration largeFleetRereadSpread = milliseconds(600);
-/// Obsolete records are reported several times after a restore, because datagrams get lost and
-/// instances may be starting.
-constexpr unsigned obsoleteReports = 3;
-constexpr Duration obsoleteReportInterval = milliseconds(400);
 
 /// The reader confirms its configuration in this time: two long polls, the first of which returned
 /// a version. Above it, it counts as one that has not read the store.
@@ -201,13 +184,6 @@
     }
 }
 
-Duration TableSync::shortestReadInterval() const
-{
-    if (!m_context.membership.usesZoneReports())
-        return minReadInterval;
-    return isReader() ? largeFleetReadInterval : largeFleetOwnReadInterval;
-}
-
 bool TableSync::isReader() const
 {
     return m_context.membership.leaderFor("store-reader", true, Clock::now())
@@ -338,34 +314,6 @@
                                                                           : smallFleetRereadSpread);
 }
 
-void TableSync::reportObsoleteServers()
-{
-    if (m_obsoleteReports == 0)
-        return;
-    --m_obsoleteReports;
-    m_peers.broadcastLeaving(m_context.servers.leavingServers());
-    m_context.timers.callAfter(obsoleteReportInterval, [this] { reportObsoleteServers(); });
-}
-
-void TableSync::confirmConfiguration(TimePoint time)
-{
-    m_context.configurationConfirmedAt = std::max(m_context.configurationConfirmedAt, time);
-}
-
-void TableSync::logConfirmation(TimePoint now)
-{
-    const bool isOverdue = m_context.isConfigurationOverdue(now);
-    if (isOverdue == std::exchange(m_wasOverdue, isOverdue))
-        return;
-    m_context.log.write(
-        isOverdue ? EventLog::Level::Warning : EventLog::Level::Info,
-        isOverdue ? "configuration_overdue" : "configuration_confirmed", [&](LogLine &line) {
-            line.number("version",
-                        static_cast<std::int64_t>(m_context.routes.configuration()->version))
-                .milliseconds("age", now - m_context.configurationConfirmedAt);
-        });
-}
-
 void TableSync::handleStoreSuccess()
 {
     m_context.membership.setCanReadStore(true);
@@ -389,266 +337,6 @@
     }
 }
 
-void TableSync::recordServerRead(TimePoint readAt)
-{
-    m_lastSuccessfulRead = std::max(m_lastSuccessfulRead, readAt);
-    m_context.servers.storeAnswered(Clock::now());
-}
-
-void TableSync::readSnapshot()
-{
-    if (m_isReadingServers)
-        return;
-    m_isReadingServers = true;
-    m_serversRead = Clock::now();
-    m_context.adapter.store->readNewest(
-        Topic::BackendServers, [this](Result<StoredRecords> result) {
-            m_isReadingServers = false;
-            if (!result) {
-                ++m_failedSnapshots;
-                handleStoreFailure("read_servers", result.error());
-                return;
-            }
-            if (acceptsEra(result->end.era)) {
-                m_failedSnapshots = 0;
-                applyServers(result->records, {}, result->end, true, "store");
-            }
-            handleStoreSuccess();
-        });
-}
-
-void TableSync::readServers()
-{
-    // Without a recent successful read the store must answer at once.
-    const bool isUpToDate = Clock::now() - m_lastSuccessfulRead < serverLongPollTimeout;
-    readServers(isUpToDate ? serverLongPollTimeout : Duration::zero());
-}
-
-void TableSync::readServers(Duration wait)
-{
-    if (m_isReadingServers)
-        return;
-    m_isReadingServers = true;
-    m_serversRead = Clock::now();
-    const fleet::StorePosition from = m_context.servers.position();
-    m_context.adapter.store->readFrom(
-        Topic::BackendServers, from, wait, [this, from](Result<StoredRecords> result) {
-            m_isReadingServers = false;
-            if (!result) {
-                handleStoreFailure("read_servers", result.error());
-                const unsigned doublings = std::min(m_failedReads++, maxRetryDoublings);
-                m_nextRead = Clock::now() + initialRetryDelay * (1U << doublings);
-                return;
-            }
-            m_failedReads = 0;
-            m_nextRead = m_serversRead + shortestReadInterval();
-            if (!acceptsEra(result->end.era)) {
-                handleStoreSuccess();
-                return;
-            }
-            if (result->end.era != from.era) {
-                handleStoreSuccess();
-                readSnapshot();
-                return;
-            }
-            if (result->isTruncated) {
-                m_context.log.write(
-                    EventLog::Level::Warning, "store_history_lost", [from](LogLine &line) {
-                        line.number("position", static_cast<std::int64_t>(from.offset));
-                    });
-                handleStoreSuccess();
-                readSnapshot();
-                return;
-            }
-            applyServers(result->records, from, result->end, false, "store");
-            handleStoreSuccess();
-            recordServerRead(Clock::now());
-            // Announces that there are no other changes up to this position.
-            if (isReader())
-                m_peers.announceTables(PeerChannel::Scope::Fleet);
-            else if (isZoneReader())
-                m_peers.announceTables(PeerChannel::Scope::OwnZone);
-        });
-}
-
-void TableSync::keepRecord(const StoredRecord &record, const fleet::ServerRecord &decoded)
-{
-    const bool isNewer = m_context.servers.accepts(decoded);
-    StoredRecord &known = m_records[record.key];
-    known.key = record.key;
-    known.position = std::max(known.position, record.position);
-    if (!isNewer)
-        return;
-    // Peers need to know only that a record names no server. It can be too large for a datagram.
-    if (decoded.entry)
-        known.value = record.value;
-    else
-        known.value.reset();
-}
-
-void TableSync::applyServers(const std::vector<StoredRecord> &records, fleet::StorePosition from,
-                             fleet::StorePosition end, bool isSnapshot, std::string_view source)
-{
-    const TimePoint now = Clock::now();
-    std::vector<fleet::ServerRecord> decoded;
-    for (const StoredRecord &record : records) {
-        fleet::ServerRecord each{record.key, record.position, std::nullopt};
-        if (record.value)
-            each.entry = m_context.adapter.decodeServer(record.key, *record.value);
-        if (record.value && !each.entry)
-            m_context
-                .counter("server_records_unreadable_total",
-                         "Records of backend servers that name no usable server.")
-                .add();
-        keepRecord(record, each);
-        decoded.push_back(std::move(each));
-    }
-    const fleet::StorePosition before = m_context.servers.position();
-    const bool isRestored = isSnapshot && m_context.servers.hasSnapshot() && end.era > before.era;
-    const auto changes = isSnapshot ? m_context.servers.mergeSnapshot(decoded, end, now)
-                                    : m_context.servers.merge(decoded, now);
-    if ((from.era == before.era && from <= before) || isSnapshot)
-        m_context.servers.advanceTo(end);
-    for (const auto &change : changes)
-        m_lastChange = std::max(m_lastChange, {change.position.era, change.position.offset + 1});
-    if (isRestored && (isReader() || isZoneFetcher())) {
-        m_obsoleteReports = obsoleteReports;
-        reportObsoleteServers();
-    }
-    if (changes.empty())
-        return;
-    logChanges(changes, source);
-    m_handlers.serversChanged();
-    if (source != "store" || isSnapshot || !(isReader() || isZoneReader()))
-        return;
-    std::vector<StoredRecord> updates;
-    updates.reserve(changes.size());
-    for (const auto &change : changes)
-        updates.push_back(m_records[change.id]);
-    broadcastUpdates(std::move(updates), from, end);
-}
-
-void TableSync::logChanges(const std::vector<fleet::ServerDirectory::Change> &changes,
-                           std::string_view source)
-{
-    for (const auto &change : changes) {
-        m_context.log.write(EventLog::Level::Info, "server_changed", [&](LogLine &line) {
-            line.text("server", change.id)
-                .text("change", change.what)
-                .number("offset", static_cast<std::int64_t>(change.position.offset))
-                .text("source", source);
-        });
-    }
-}
-
-void TableSync::watchConfiguration()
-{
-    if (m_isWatching)
-        return;
-    if (!m_hasConfigurationPosition) {
-        if (Clock::now() - m_configurationRead > retryInterval)
-            readConfiguration();
-        return;
-    }
-    m_isWatching = true;
-    const TimePoint started = Clock::now();
-    const fleet::StorePosition from = m_configurationPosition;
-    m_context.adapter.store->readFrom(
-        Topic::Configuration, from, configurationLongPollTimeout,
-        [this, started, from](Result<StoredRecords> result) {
-            m_configurationRead = Clock::now();
-            if (!result) {
-                handleStoreFailure("watch_configuration", result.error());
-                m_hasConfigurationPosition = false;
-                m_context.timers.callAfter(retryInterval, [this] { m_isWatching = false; });
-                return;
-            }
-            m_isWatching = false;
-            handleStoreSuccess();
-            if (!acceptsEra(result->end.era))
-                return;
-            if (result->isTruncated || result->end.era != from.era) {
-                readConfiguration();
-                return;
-            }
-            m_configurationPosition = std::max(m_configurationPosition, result->end);
-            const bool hasRecords = !result->records.empty();
-            applyConfigurationRecords(std::move(result->records), std::nullopt);
-            confirmConfiguration(
-                earliestAnswer(started, configurationLongPollTimeout, hasRecords, Clock::now()));
-        });
-}
-
-void TableSync::readConfiguration()
-{
-    if (m_isReadingConfiguration)
-        return;
-    m_isReadingConfiguration = true;
-    const TimePoint started = Clock::now();
-    m_configurationRead = started;
-    m_context.adapter.store->readNewest(
-        Topic::Configuration, [this, started](Result<StoredRecords> result) {
-            m_isReadingConfiguration = false;
-            if (!result) {
-                handleStoreFailure("read_configuration", result.error());
-                return;
-            }
-            handleStoreSuccess();
-            if (!acceptsEra(result->end.era))
-                return;
-            // Not the higher of both: it may not exist after a restore of the store.
-            m_configurationPosition = result->end;
-            m_hasConfigurationPosition = true;
-            applyConfigurationRecords(std::move(result->records), result->end);
-            confirmConfiguration(started);
-        });
-}
-
-void TableSync::applyConfigurationRecords(std::vector<StoredRecord> records,
-                                          const std::optional<fleet::StorePosition> &snapshotEnd)
-{
-    const TimePoint now = Clock::now();
-    const auto orders = takeEvacuations(m_context.adapter, records);
-    handleEvacuations(snapshotEnd ? m_context.evacuations.mergeSnapshot(orders, *snapshotEnd, now)
-                                  : m_context.evacuations.merge(orders, now),
-                      "store");
-    for (const StoredRecord &record : records) {
-        if (record.value)
-            applyConfiguration(*record.value, "store");
-    }
-}
-
-void TableSync::applyConfiguration(const std::string &text, std::string_view source)
-{
-    auto decoded = m_context.adapter.decodeConfiguration(text);
-    if (!decoded) {
-        m_context.counter("configurations_refused_total", "Configurations that are not valid.")
-            .add();
-        m_context.log.write(EventLog::Level::Error, "configuration_refused", [&](LogLine &line) {
-            line.text("reason", decoded.error().message).text("source", source);
-        });
-        return;
-    }
-    const fleet::Configuration *current = m_context.routes.configuration();
-    if (current && decoded->version <= current->version)
-        return;
-    const std::uint64_t before = current ? current->version : 0;
-    m_context.routes =
-        fleet::RouteTable(std::make_shared<const fleet::Configuration>(std::move(*decoded)));
-    m_context.configurationText = text;
-    m_context.log.write(EventLog::Level::Info, "configuration_accepted", [&](LogLine &line) {
-        line.number("version", static_cast<std::int64_t>(m_context.routes.configuration()->version))
-            .number("before", static_cast<std::int64_t>(before))
-            .text("source", source);
-    });
-    m_handlers.configurationChanged();
-    const bool isFromStore = source == "store" && isReader();
-    if (isFromStore && m_context.membership.usesZoneReports())
-        broadcastConfiguration();
-    else if (isFromStore || (m_context.membership.usesZoneReports() && isZoneFetcher()))
-        m_peers.announce();
-}
-
 void TableSync::registerInstance()
 {
     if (m_isRegistering)
--- a/packages/gateway/src/tablesync.h
+++ b/packages/gateway/src/tablesync.h
@@ -10,6 +10,13 @@
 /// changes. Changes must reach all instances within two seconds, even if the reader changes.
 inline constexpr Duration serverLongPollTimeout = std::chrono::milliseconds(800);
 
+/// Long-poll time of a read of the configuration. Together with the call timeout it stays below the
+/// two seconds within which a version must be in force, even if the connection stops responding.
+inline constexpr Duration configurationLongPollTimeout = std::chrono::milliseconds(1200);
+
+/// Interval of retries of calls to the store.
+inline constexpr Duration retryInterval = std::chrono::milliseconds(300);
+
 /// Messages that arrived while the event loop stood still for longer than this may be as old as the
 /// pause. They confirm no configuration.
 inline constexpr Duration stallLimit = std::chrono::milliseconds(400);
