--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -71,8 +71,7 @@
                       tables.handleLeaving({leaving}, "response", tellsOthers);
                   }},
           peers(context, peerHandlers()), slotAllocator(context, peers),
-          quotaAllocator(quotaEnvironment(), peers, context.metrics,
-                         {settings.quota.window, settings.quota.overage, settings.quota.slack},
+          quotaAllocator(quotaEnvironment(), peers, context.metrics, settings.quota,
                          firstTicket(context.membership.self().incarnation),
                          std::random_device{}()),
           pool(context), path(context, slotAllocator, quotaAllocator, pool),
@@ -156,8 +155,9 @@
 
     void serversChanged()
     {
+        const TimePoint now = Clock::now();
         for (const auto &[id, server] : context.servers.servers()) {
-            if (server.entry && !isUsable(context, server, Clock::now()))
+            if (server.entry && !isUsable(context, server, now))
                 pool.clear(*server.entry);
         }
         slotAllocator.updateServers();
