Review: Show the quota of a cut-off zone with a cut of five seconds

Replaces the cut of half a minute by one of the usual length: an instance of the zone that is cut off decides as the owner at the whole rate (QUOTA).

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Two regions lose each other for half a minute; callers still reach both."""
+"""One availability zone of four is partitioned from the others for 5 s while one tenant sends more than its limit."""
 
 import asyncio
 import pathlib
@@ -9,42 +9,44 @@
 sys.path.insert(0, str(CASE.parent / "common-2"))
 import bed as b  # noqa: E402
 
-RATE, BURST, KEY, OTHER_KEY = 40, 40, "8m82thhkmgjqnirth5mg", "jy5rcpihhacruddedev3"
-CUT_S = 30.0
-# Each instance gets three quarters of the whole limit.
-REQUESTS_PER_S = 30
+RATE, BURST, KEY, OTHER_KEY = 120, 120, "8m82thhkmgjqnirth5mg", "jy5rcpihhacruddedev3"
+ZONES, INSTANCES, PRESS = ["z1", "z2", "z3", "z4"], 28, 3
+CUT_AFTER_S, CUT_S, PLAYED_S = 1.0, 5.0, 12.0
 
 
-async def send_requests(bed, instance, until):
+async def send_requests(bed, instance, number, until):
+    pause = INSTANCES / (RATE * PRESS)
+    await asyncio.sleep(pause * number / INSTANCES)
     tasks = []
     while time.monotonic() < until:
         tasks.append(asyncio.create_task(bed.request(instance, "/read/x", 1.2, headers={"X-Api-Key": KEY})))
-        await asyncio.sleep(1 / REQUESTS_PER_S)
+        await asyncio.sleep(pause)
     await asyncio.gather(*tasks)
 
 
 async def play(bed):
     tenants = [["t1", [KEY], 0, RATE, BURST], ["t2", [OTHER_KEY], 0, RATE, BURST]]
     await bed.start(b.configuration([("read", "safe", 1.2, 0.2, "s")], ["s"], tenants))
-    await asyncio.sleep(5)
-    first = [each for each in bed.instances if each.zone == "z1"]
-    second = [each for each in bed.instances if each.zone == "z2"]
+    await asyncio.sleep(8)
     start = time.monotonic()
-    load = [asyncio.create_task(send_requests(bed, each, start + CUT_S)) for each in bed.instances]
+    load = [asyncio.create_task(send_requests(bed, each, i, start + PLAYED_S)) for i, each in enumerate(bed.instances)]
+    await asyncio.sleep(CUT_AFTER_S)
     if b.has_trouble():
-        bed.record.write("cut")
-        bed.links.cut(first, second)
-    await asyncio.gather(*load)
+        bed.record.write("cut", zone=ZONES[-1])
+        bed.links.cut([each for each in bed.instances if each.zone == ZONES[-1]],
+                      [each for each in bed.instances if each.zone != ZONES[-1]])
+    await asyncio.sleep(CUT_S)
     bed.record.write("heal")
     bed.links.heal()
+    await asyncio.gather(*load)
     return b.check_quota(bed, start, RATE, BURST)
 
 
 def make_bed(case):
-    bed = b.Bed(case, regions={"z1": "r1", "z2": "r2"},
+    bed = b.Bed(case, regions={each: "r1" for each in ZONES},
                 bounds={"quotaWindowS": 5, "quotaOverage": 0.1, "quotaSlack": 20, "configApplyS": 2.5})
-    bed.add_instances(4, ["z1", "z2"])
-    bed.add_servers("s", 8, 4, 0.02)
+    bed.add_instances(INSTANCES, ZONES)
+    bed.add_servers("s", 16, 4, 0.02)
     return bed
 
 
