--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -42,7 +42,7 @@
 
 
 class Record:
-    """What was sent, answered and run, with seconds since the start."""
+    """What was sent, answered and run, with the seconds since the start."""
 
     def __init__(self, path):
         self.file = open(path, "w", encoding="utf-8")
@@ -292,7 +292,7 @@
 
     def __init__(self, bed, name, ip, store_ip, peer_port, zone):
         self.bed, self.name, self.ip, self.store_ip = bed, name, ip, store_ip
-        self.peer_port, self.zone, self.process, self.is_ended = peer_port, zone, None, False
+        self.peer_port, self.zone, self.process = peer_port, zone, None
 
     def start(self):
         bed = self.bed
@@ -483,6 +483,8 @@
             return await play(bed)
         finally:
             bed.end()
+    # The processes are ended also when the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(main(), 118))
     except (CannotRun, OSError, asyncio.TimeoutError) as error:
