--- a/review/6/case.py
+++ b/review/6/case.py
@@ -21,14 +21,14 @@
     return [request for request, _, _ in await asyncio.gather(*tasks)]
 
 
-async def add_and_remove(bed, server, start):
+async def add_and_remove(server, start):
     """Registers a server and takes it away. It does not report that it drains: its entry is removed, and it serves on.
     Returns the time of the acknowledgement."""
     await asyncio.sleep(start - time.monotonic())
     server.register()
     # Without the trouble it stays for longer than an instance waits between two reads.
     await asyncio.sleep(REMOVED_AFTER_S if b.has_trouble() else 1)
-    return bed.store.put("keyed.servers", server.id, None)
+    return server.remove()
 
 
 async def play(bed):
@@ -42,7 +42,7 @@
     for each in added:
         await each.start()
     begin = time.monotonic() + 0.1
-    removed = await asyncio.gather(*[add_and_remove(bed, each, begin + EVERY_S * i) for i, each in enumerate(added)])
+    removed = await asyncio.gather(*[add_and_remove(each, begin + EVERY_S * i) for i, each in enumerate(added)])
     acknowledged = dict(zip((each.id for each in added), removed))
     load = [asyncio.create_task(send_requests(bed, each, service, max(removed) + SERVES_ON_S))
             for each in bed.instances for service in SERVICES]
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -47,7 +47,7 @@
     await asyncio.sleep(REMOVED_AFTER_S)
     # These servers do not report that they drain: their entries are removed, and they serve on for a while.
     for each in leaving:
-        acknowledged = bed.store.put("keyed.servers", each.id, None)
+        acknowledged = each.remove()
     if b.has_trouble():
         await asyncio.sleep(RESTARTED_AFTER_S - REMOVED_AFTER_S)
         reader.start()
--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -83,9 +83,8 @@
     """The platform's store: keyed topics with one partition. Each instance reaches it at an address of its own."""
 
     def __init__(self, record):
-        self.record, self.topics, self.servers, self.writers = record, {}, [], set()
-        self.mode, self.changed = "normal", asyncio.Event()
-        self.calls = []
+        self.record, self.topics, self.servers = record, {}, []
+        self.changed, self.calls = asyncio.Event(), []
 
     def topic(self, name):
         return self.topics.setdefault(name, {"records": [], "newest": {}})
@@ -113,23 +112,16 @@
         self.servers.append(await asyncio.start_server(lambda r, w: self.serve(ip, r, w), ip, STORE_PORT))
 
     async def serve(self, ip, reader, writer):
-        self.writers.add(writer)
         try:
             while head := await read_head(reader):
                 line, headers = head
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 self.calls.append((time.monotonic(), ip, line))
-                if self.mode == "silent":
-                    # A connection on which a response was lost returns nothing further.
-                    await asyncio.sleep(3600)
                 writer.write(await self.answer(line, body))
-                if self.mode == "silent":
-                    await asyncio.sleep(3600)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
-            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, line, body):
@@ -168,7 +160,7 @@
 
     def __init__(self, bed, server_id, ip, service, slots, work_s):
         self.bed, self.id, self.ip, self.service = bed, server_id, ip, service
-        self.slots, self.work_s, self.running = slots, work_s, 0
+        self.slots, self.work_s, self.running, self.is_leaving = slots, work_s, 0, False
         self.born, self.sequence, self.listener, self.writers = int(time.time() * 1000), 0, None, set()
         self.body = lambda request_id: f"answer to {request_id}".encode()
 
@@ -190,8 +182,15 @@
     def register(self, state="ready"):
         return self.bed.store.put("keyed.servers", self.id, self.entry(state))
 
+    def remove(self):
+        """Leaves without a report that it drains: the entry is removed, and the server serves on. Returns the time of the
+        acknowledgement."""
+        self.is_leaving = True
+        return self.bed.store.put("keyed.servers", self.id, None)
+
     def load(self):
-        return {"X-Server-Load": f"{self.running},0,{self.slots}", "X-Instance-Id": self.id}
+        told = {"X-Server-Load": f"{self.running},0,{self.slots}", "X-Instance-Id": self.id}
+        return {**told, "Connection": "close"} if self.is_leaving else told
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -210,7 +209,7 @@
     async def answer(self, line, headers, body):
         method, target, _ = line.split(" ")
         if target == "/health":
-            return encode(200, self.load(), b"")
+            return encode(503 if self.is_leaving else 200, self.load(), b"")
         request_id = headers.get("x-request-id", "")
         told = {"X-Request-Id": request_id}
         if headers.get("x-expected-instance", self.id) != self.id:
@@ -235,7 +234,7 @@
 
     def __init__(self, instances):
         self.instances, self.cuts = instances, set()
-        self.sockets, self.servers, self.writers = {}, [], {}
+        self.sockets, self.servers = {}, []
 
     async def start(self):
         loop = asyncio.get_running_loop()
