--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -377,7 +377,7 @@
         self.bounds = {**BOUNDS, **(bounds or {})}
         self.network = f"127.{random.randrange(16, 240)}.{os.getpid() % 250 + 1}"
         self.store = Store(self.record)
-        self.instances, self.servers, self.runs, self.sent, self.next_id = [], [], [], {}, 0
+        self.instances, self.servers, self.runs, self.sent, self.keys, self.next_id = [], [], [], {}, {}, 0
         self.links = None
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 8192)), hard))
@@ -427,7 +427,7 @@
     async def request(self, instance, target, patience_s, method="GET", headers=None, body=b""):
         """A request of a caller on a connection of its own; returns id, status (None without an answer), body."""
         request_id = self.new_id()
-        self.sent[request_id] = time.monotonic()
+        self.sent[request_id], self.keys[request_id] = time.monotonic(), (headers or {}).get("X-Api-Key")
         self.record.write("sent", request=request_id, instance=instance.name, method=method, target=target)
         fields = {"X-Request-Id": request_id, "X-Deadline-Ms": int(patience_s * 1000), **(headers or {})}
         try:
@@ -452,11 +452,13 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def check_quota(bed, start, rate, burst):
-    """Returns what breaks QUOTA: runs of requests sent since the start, in windows that slide from run to run."""
+def check_quota(bed, start, rate, burst, key):
+    """Returns what breaks QUOTA for the tenant with a key: runs of its requests sent since the start, in windows that slide
+    from run to run."""
     window = bed.bounds["quotaWindowS"]
     allowed = (rate * window + burst) * (1 + bed.bounds["quotaOverage"]) + bed.bounds["quotaSlack"]
-    runs = sorted({request: at for at, _, request, *_ in reversed(bed.runs) if bed.sent.get(request, 0) >= start}.items(),
+    runs = sorted({request: at for at, _, request, *_ in reversed(bed.runs)
+                   if bed.sent.get(request, 0) >= start and bed.keys.get(request) == key}.items(),
                   key=lambda each: each[1])
     worst, worst_at = 0, 0.0
     for first, (_, begin) in enumerate(runs):
@@ -465,7 +467,7 @@
                     if at < begin + window and bed.sent[request] >= begin - 0.02)
         if count > worst:
             worst, worst_at = count, begin - start
-    bed.record.write("quota", most=worst, allowed=f"{allowed:.0f}", window_from=f"{worst_at:.1f}")
+    bed.record.write("quota", key=key, most=worst, allowed=f"{allowed:.0f}", window_from=f"{worst_at:.1f}")
     if worst <= allowed:
         return []
     return [f"QUOTA: {worst} requests of one tenant ran in {window} s, from {worst_at:.1f} s after the start of the "
