Loop: Do not take a reset during an upload for the end of a body

Callers got a part of a response as a complete one: a backend server responded to a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the socket reports the error of a reset once. While a write is pending, the event loop performs it before the read, so the write receives the error, which was ignored, and the read then reports the end of the stream. A response without a length counts as complete at that end.

Change: the connection remembers that a write has failed. The end of the stream then ends no response without a length; the request fails as lost, so that an idempotent one is sent to another server and another one gets 502. Responses with a length or in chunks that are complete are still received after a failed write, and so is a response without a length whose server ends its side while the upload is being written. HttpClientConnection reads the responses of backend servers, of the store and of peers.

--- a/packages/loop/include/apricotrock/loop.h
+++ b/packages/loop/include/apricotrock/loop.h
@@ -489,6 +489,7 @@
     bool m_isClosed = false;
     bool m_isReading = false;
     bool m_isWritten = false;
+    bool m_hasWriteFailed = false;
     bool m_isReusable = false;
     bool m_isHead = false;
 };
--- a/packages/loop/src/httpclientconnection.cpp
+++ b/packages/loop/src/httpclientconnection.cpp
@@ -98,6 +98,7 @@
     m_callback = std::move(callback);
     m_isReusable = false;
     m_isWritten = false;
+    m_hasWriteFailed = false;
     m_parsedBytes = 0;
     m_discardedBodyBytes = 0;
     m_lease = m_budget ? std::make_shared<ByteLease>(m_budget) : nullptr;
@@ -143,8 +144,8 @@
                               return;
                           // After a failed write, the pending read reports the end of the
                           // connection, possibly after a response.
-                          if (!error)
-                              self->m_isWritten = true;
+                          self->m_isWritten = !error;
+                          self->m_hasWriteFailed = bool(error);
                       });
     read();
 }
@@ -172,7 +173,10 @@
             callback();
         return;
     }
-    if (error == asio::error::eof && m_parser->hasHeaders && m_parser->needsEnd) {
+    // The error of a reset is reported once. If the write has received it, the read reports the end
+    // of the stream, which is then no proof that the server has sent its whole response.
+    const bool isEnd = error == asio::error::eof && !m_hasWriteFailed;
+    if (isEnd && m_parser->hasHeaders && m_parser->needsEnd) {
         m_parser->finishInput();
         if (m_parser->isComplete) {
             m_isReusable = false;
