Loop: Refuse responses with an invalid field name in their head

Callers got a response whose head held a line that is no header: with that line passed on, or with another body than that of the backend server.

Cause: the Debian library of http_parser is built without its strict mode. It accepts blanks in the names of fields and takes "Content-Length : 2" and "Transfer-Encoding : chunked" for the length and the coding, while the line is passed on under its other name. It joins a folded line to the value before it, and does not check the byte after a carriage return, so that a control byte at the beginning of a name ends the head and the rest of the line becomes the body.

Change: StatusScanner becomes HeadScanner, which reads all bytes of a head before http_parser. It refuses names that are no tokens (RFC 9110, section 5.6.2), folded lines, and a carriage return without a line feed. A line feed alone ends a head only if the line before it ended so; servers that end all lines with it are still read. The check of the status is the same as before. Interim responses are covered, and responses of the store and of peers, which HttpClientConnection reads too.

--- a/packages/http/src/headers.cpp
+++ b/packages/http/src/headers.cpp
@@ -46,6 +46,14 @@
     return std::nullopt;
 }
 
+bool isTokenCharacter(char character)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+        || (character >= '0' && character <= '9')
+        || marks.find(character) != std::string_view::npos;
+}
+
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(),
--- /dev/null
+++ b/packages/loop/src/headscanner.cpp
@@ -0,0 +1,125 @@
+#include "headscanner.h"
+
+#include "apricotrock/http.h"
+
+namespace apricotrock::loop {
+
+namespace {
+
+constexpr unsigned statusDigits = 3;
+constexpr unsigned minStatus = 100;
+constexpr unsigned maxStatus = 599;
+
+} // namespace
+
+bool HeadScanner::feed(std::string_view data)
+{
+    for (const char byte : data) {
+        if (m_part == Part::End)
+            return true;
+        if (!feed(byte))
+            return false;
+    }
+    return true;
+}
+
+bool HeadScanner::feed(char byte)
+{
+    if (m_isAfterCarriageReturn) {
+        m_isAfterCarriageReturn = false;
+        return byte == '\n' ? endLine(true) : fail("carriage return without a line feed");
+    }
+    if (byte == '\r') {
+        m_isAfterCarriageReturn = true;
+        return true;
+    }
+    if (byte == '\n')
+        return endLine(false);
+    switch (m_part) {
+    case Part::Version:
+        m_hasBytes = true;
+        if (byte == ' ')
+            m_part = Part::Blanks;
+        return true;
+    case Part::Blanks:
+    case Part::Status:
+        return feedStatus(byte);
+    case Part::LineStart:
+    case Part::Name:
+        return feedName(byte);
+    case Part::Reason:
+    case Part::Value:
+    case Part::End:
+        break;
+    }
+    return true;
+}
+
+bool HeadScanner::feedStatus(char byte)
+{
+    if (byte >= '0' && byte <= '9') {
+        m_part = Part::Status;
+        m_status = 10 * m_status + static_cast<unsigned>(byte - '0');
+        return ++m_digits <= statusDigits ? true : fail("invalid status");
+    }
+    if (byte == ' ' && m_part == Part::Blanks)
+        return true;
+    m_part = Part::Reason;
+    return checkStatus();
+}
+
+bool HeadScanner::feedName(char byte)
+{
+    if (byte == ':' && m_part == Part::Name) {
+        m_part = Part::Value;
+        return true;
+    }
+    m_part = Part::Name;
+    return isTokenCharacter(byte) ? true : fail("invalid field name");
+}
+
+bool HeadScanner::endLine(bool hasCarriageReturn)
+{
+    const bool isLineFeedAlone = !hasCarriageReturn;
+    switch (m_part) {
+    case Part::Version:
+        // A line without a status, which http_parser reports.
+        if (m_hasBytes)
+            m_part = Part::End;
+        return true;
+    case Part::Blanks:
+    case Part::Status:
+        if (!checkStatus())
+            return false;
+        break;
+    case Part::LineStart:
+        m_part = Part::End;
+        // A line feed at the beginning of a name must not end the head of a server that ends its
+        // lines with both bytes.
+        return isLineFeedAlone && !m_wasLineFeedAlone ? fail("line feed in a field name") : true;
+    case Part::Name:
+        return fail("invalid field name");
+    case Part::Reason:
+    case Part::Value:
+    case Part::End:
+        break;
+    }
+    m_part = Part::LineStart;
+    m_wasLineFeedAlone = isLineFeedAlone;
+    return true;
+}
+
+bool HeadScanner::checkStatus()
+{
+    const bool isStatus =
+        m_digits == statusDigits && m_status >= minStatus && m_status <= maxStatus;
+    return isStatus ? true : fail("invalid status");
+}
+
+bool HeadScanner::fail(std::string_view error)
+{
+    m_error = error;
+    return false;
+}
+
+} // namespace apricotrock::loop
--- /dev/null
+++ b/packages/loop/src/headscanner.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace apricotrock::loop {
+
+/// Checks the head of a response for what http_parser does not check: its library is built without
+/// the strict mode. It accepts a status of any number of digits up to the value 999, blanks in the
+/// names of fields, folded lines, and any byte in place of the line feed after a carriage return.
+class HeadScanner
+{
+public:
+    /// Reads \a data, which continues the data of earlier calls, up to the end of the head.
+    /// Returns false if the head is invalid; error() tells why.
+    bool feed(std::string_view data);
+    void reset() { *this = {}; }
+    [[nodiscard]] std::string_view error() const { return m_error; }
+
+private:
+    enum class Part : std::uint8_t {
+        /// Empty lines before the status line, and the version.
+        Version,
+        Blanks,
+        Status,
+        Reason,
+        LineStart,
+        Name,
+        Value,
+        End
+    };
+
+    bool feed(char byte);
+    bool feedStatus(char byte);
+    bool feedName(char byte);
+    bool endLine(bool hasCarriageReturn);
+    bool checkStatus();
+    bool fail(std::string_view error);
+
+    Part m_part = Part::Version;
+    bool m_hasBytes = false;
+    bool m_isAfterCarriageReturn = false;
+    /// The line before this one ended with a line feed alone.
+    bool m_wasLineFeedAlone = false;
+    unsigned m_digits = 0;
+    unsigned m_status = 0;
+    std::string_view m_error;
+};
+
+} // namespace apricotrock::loop
--- a/packages/loop/src/messageparser.cpp
+++ b/packages/loop/src/messageparser.cpp
@@ -2,50 +2,6 @@
 
 namespace apricotrock::loop {
 
-bool StatusScanner::feed(std::string_view data)
-{
-    for (const char byte : data) {
-        if (m_part == Part::End)
-            return true;
-        if (!feed(byte))
-            return false;
-    }
-    return true;
-}
-
-bool StatusScanner::feed(char byte)
-{
-    constexpr unsigned digits = 3;
-    constexpr unsigned minStatus = 100;
-    constexpr unsigned maxStatus = 599;
-    const bool isLineEnd = byte == '\r' || byte == '\n';
-    const bool isDigit = byte >= '0' && byte <= '9';
-    switch (m_part) {
-    case Part::Version:
-        if (byte == ' ')
-            m_part = Part::Blanks;
-        else if (isLineEnd && m_hasBytes)
-            m_part = Part::End; // Not a status line, which http_parser reports.
-        m_hasBytes = m_hasBytes || !isLineEnd;
-        return true;
-    case Part::Blanks:
-        if (byte == ' ')
-            return true;
-        m_part = Part::Digits;
-        return feed(byte);
-    case Part::Digits:
-        if (isDigit) {
-            m_status = 10 * m_status + static_cast<unsigned>(byte - '0');
-            return ++m_digits <= digits;
-        }
-        m_part = Part::End;
-        return m_digits == digits && m_status >= minStatus && m_status <= maxStatus;
-    case Part::End:
-        break;
-    }
-    return true;
-}
-
 MessageParser::MessageParser(http_parser_type messageType) : type(messageType)
 {
     reset();
@@ -65,7 +21,7 @@
     isHeaderTooLarge = isBodyTooLarge = false;
     hasStarted = hasHeaders = isComplete = keepAlive = needsEnd = false;
     m_lastWasValue = false;
-    m_statusScanner.reset();
+    m_headScanner.reset();
 }
 
 MessageParser &MessageParser::of(http_parser *parser)
@@ -93,8 +49,8 @@
 
 std::size_t MessageParser::feed(const char *data, std::size_t size)
 {
-    if (type == HTTP_RESPONSE && !m_statusScanner.feed({data, size})) {
-        errorText = "invalid status";
+    if (type == HTTP_RESPONSE && !m_headScanner.feed({data, size})) {
+        errorText = m_headScanner.error();
         return 0;
     }
     const std::size_t used = http_parser_execute(&parser, &settings(), data, size);
--- a/packages/loop/src/messageparser.h
+++ b/packages/loop/src/messageparser.h
@@ -1,32 +1,13 @@
 #pragma once
 
+#include "headscanner.h"
+
 #include "apricotrock/loop.h"
 
 #include <http_parser.h>
 
 namespace apricotrock::loop {
 
-/// Reads the status of a response from its bytes. http_parser accepts any number of digits up to
-/// the value 999, and does not tell how many there were.
-class StatusScanner
-{
-public:
-    /// Reads \a data, which continues the data of earlier calls, up to the end of the status.
-    /// Returns false if the status is not three digits from 100 to 599.
-    bool feed(std::string_view data);
-    void reset() { *this = {}; }
-
-private:
-    enum class Part : std::uint8_t { Version, Blanks, Digits, End };
-
-    bool feed(char byte);
-
-    Part m_part = Part::Version;
-    bool m_hasBytes = false;
-    unsigned m_digits = 0;
-    unsigned m_status = 0;
-};
-
 /// Builds one HTTP message from the callbacks of http_parser.
 struct MessageParser
 {
@@ -74,7 +55,7 @@
 
     int addHeaderBytes(std::size_t count);
 
-    StatusScanner m_statusScanner;
+    HeadScanner m_headScanner;
     bool m_lastWasValue = false;
 };
 
