Backend: Refuse answers with an invalid field name in their head

Cause: libcurl does not check the names of fields, and AnswerReader refused only a blank at the beginning or the end of one. Blanks within it, tabs and control bytes passed. A line feed at the beginning of a name ended the head, so that the rest of the line became the body. A line that began with "HTTP/" started the head again, also in the middle of one.

Change: AnswerReader refuses names that are no tokens, a line feed alone that ends the head of lines which end with both bytes, and a status line within a head. What it refused before, it still refuses.

Evidence: without the fix, AnswerReaderTest::fieldNamesThatAreNoTokensAreRefused failed, and SenderTest::invalidFieldNamesAreNeverHandedOn, where the sender handed on the answer with the line "X Y: v".

--- a/packages/backend/src/answerreader.cpp
+++ b/packages/backend/src/answerreader.cpp
@@ -50,9 +50,12 @@
         return refuse();
     if (m_isHeadComplete)
         return true; // Trailers are not part of the answer.
-    if (line.starts_with("HTTP/"))
+    const bool wasLineFeedAlone = std::exchange(m_isLineFeedAlone, !line.ends_with("\r\n"));
+    if (!m_isInHead)
         return startHead(line);
-    if (trim(line).empty())
+    // libcurl ends the head at any line that begins with a carriage return or a line feed, also if
+    // that is the first byte of an invalid name.
+    if (line == "\r\n" || (line == "\n" && wasLineFeedAlone))
         return endHead();
     return addHeader(line);
 }
@@ -80,6 +83,7 @@
 bool AnswerReader::startHead(std::string_view line)
 {
     m_response = {};
+    m_isInHead = true;
     const auto space = line.find(' ');
     if (!line.starts_with("HTTP/1.") || space == std::string_view::npos)
         return refuse();
@@ -96,8 +100,7 @@
 {
     const auto colon = line.find(':');
     // A line that starts with a blank continues the one before (obsolete, RFC 9112, section 5.2).
-    if (colon == std::string_view::npos || colon == 0 || line.front() == ' ' || line.front() == '\t'
-        || line[colon - 1] == ' ')
+    if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
         return refuse();
     const std::string_view value = trim(line.substr(colon + 1));
     if (value.find_first_of(std::string_view("\0\r\n", 3)) != std::string_view::npos)
@@ -109,6 +112,7 @@
 bool AnswerReader::endHead()
 {
     constexpr int statusSwitchingProtocols = 101;
+    m_isInHead = false;
     if (m_response.status == statusSwitchingProtocols || m_response.status > lastStatus)
         return refuse();
     if (m_response.status < firstFinalStatus)
--- a/packages/backend/src/answerreader.h
+++ b/packages/backend/src/answerreader.h
@@ -43,6 +43,9 @@
     const AnswerLimits m_limits;
     const bool m_isHead;
     std::size_t m_headerBytes = 0;
+    bool m_isInHead = false;
+    /// The line before ended with a line feed alone.
+    bool m_isLineFeedAlone = false;
     bool m_isInvalid = false;
     bool m_isHeadComplete = false;
     HttpResponse m_response;
--- a/packages/backend/tests/answerreadertest.cpp
+++ b/packages/backend/tests/answerreadertest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(ambiguousOrUnverifiableFramingIsRefused);
     CPPUNIT_TEST(malformedHeadsAreRefused);
     CPPUNIT_TEST(invalidStatusesAreRefused);
+    CPPUNIT_TEST(fieldNamesThatAreNoTokensAreRefused);
     CPPUNIT_TEST(interimAnswersAndTrailersAreNotPartOfTheAnswer);
     CPPUNIT_TEST(boundsAreEnforced);
     CPPUNIT_TEST_SUITE_END();
@@ -78,6 +79,34 @@
         }
     }
 
+    // Guards against a header that is handed on although its name holds a blank or a control byte,
+    // and against a line feed at the beginning of a name that ends the head.
+    void fieldNamesThatAreNoTokensAreRefused()
+    {
+        for (unsigned value = 0; value < 256; ++value) {
+            const char byte = static_cast<char>(value);
+            // A colon ends the name; lines come without a line feed in their middle.
+            if (byte == ':' || byte == '\n')
+                continue;
+            for (const std::string &line :
+                 {byte + std::string("X: v"), std::string("X") + byte + "Y: v",
+                  std::string("X") + byte + ": v"}) {
+                AnswerReader reader({1000, 10}, false);
+                CPPUNIT_ASSERT(feed(reader, "HTTP/1.1 200 OK\nContent-Length: 3\n"));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(line, isTokenCharacter(byte), feed(reader, line));
+            }
+        }
+        AnswerReader reader({1000, 10}, false);
+        CPPUNIT_ASSERT(feed(reader, "HTTP/1.1 200 OK\nContent-Length: 3\n"));
+        CPPUNIT_ASSERT(!reader.addHeaderLine("\n"));
+        AnswerReader lineFeeds({1000, 10}, false);
+        CPPUNIT_ASSERT(lineFeeds.addHeaderLine("HTTP/1.1 200 OK\n"));
+        CPPUNIT_ASSERT(lineFeeds.addHeaderLine("Content-Length: 3\n"));
+        CPPUNIT_ASSERT(lineFeeds.addHeaderLine("\n"));
+        CPPUNIT_ASSERT(lineFeeds.isHeadComplete());
+        CPPUNIT_ASSERT(!isAccepted("HTTP/1.1 200 OK\nHTTP/1.1 404 X: v\nContent-Length: 3\n\n"));
+    }
+
     // Guards against a trailer that overrides a header, and against headers of an interim answer.
     void interimAnswersAndTrailersAreNotPartOfTheAnswer()
     {
--- a/packages/backend/tests/sendertest.cpp
+++ b/packages/backend/tests/sendertest.cpp
@@ -70,6 +70,7 @@
 {
     CPPUNIT_TEST_SUITE(SenderTest);
     CPPUNIT_TEST(faultyAnswersAreNeverHandedOn);
+    CPPUNIT_TEST(invalidFieldNamesAreNeverHandedOn);
     CPPUNIT_TEST(secondAnswerIsNotTakenForTheNextRequest);
     CPPUNIT_TEST(requestIsNotWrittenTwiceOnALostConnection);
     CPPUNIT_TEST(lateAnswerIsATimeoutAndClosesTheConnection);
@@ -129,6 +130,28 @@
         }
     }
 
+    // Guards against an answer with an invalid name in its head that reaches a caller, with that
+    // line or with a body of other bytes, whatever libcurl makes of it.
+    void invalidFieldNamesAreNeverHandedOn()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n";
+        for (const std::string name :
+             {"X Y", "X\tY", "X\x01Y", "X\x7f", "X ", " X", "\tX", "\rX", "\nX"}) {
+            RawServer server({sendAtOnce(head + name + ": v\r\n\r\nok")});
+            TestSender sender;
+            const Finished finished = sender.run(server.endpoint(), post, patience, true);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(name, static_cast<int>(AttemptStatus::AnswerInvalid),
+                                         static_cast<int>(finished.result.status));
+            CPPUNIT_ASSERT_MESSAGE(name, !finished.response);
+        }
+        const std::string chunks = "\r\n2\r\nok\r\n0\r\n\r\n";
+        RawServer server({sendAtOnce("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                                     "Transfer-Encoding\t: chunked\r\n"
+                                     + chunks)});
+        TestSender sender;
+        CPPUNIT_ASSERT(!sender.run(server.endpoint(), post, patience, true).response);
+    }
+
     // Guards against a duplicated answer that another caller gets for its request.
     void secondAnswerIsNotTakenForTheNextRequest()
     {
--- a/packages/http/include/apricotrock/http.h
+++ b/packages/http/include/apricotrock/http.h
@@ -63,6 +63,7 @@
 /// Returns true for the characters of a token (RFC 9110, section 5.6.2), which make up the names of
 /// headers.
 bool isTokenCharacter(char character);
+bool isToken(std::string_view text);
 bool equalsIgnoringCase(std::string_view a, std::string_view b);
 /// Returns the usual reason phrase of \a status, or "Status".
 std::string_view reasonPhrase(int status);
--- a/packages/http/src/headers.cpp
+++ b/packages/http/src/headers.cpp
@@ -54,6 +54,11 @@
         || marks.find(character) != std::string_view::npos;
 }
 
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(),
