Platform: Bound the headers and trailers of answers

A call to the log service or to the instance list kept all trailers of its answer: apricotrockd, which runs the calls, grew by 1.0 GB in the 2 s of one call to a server that sent trailers without end, and would have run out of memory, with the requests of all callers on that machine.

Cause: libcurl keeps the headers and trailers of an answer until the next call. It bounds the head, but not the trailers, and HttpCall bounded the body only.

Change: HttpCall counts the bytes of the head, of interim answers and of trailers, and ends the call as one with too long an answer beyond 64 kB.

Evidence: without the fix, ClientTest::headersAndTrailersAreBounded failed, because the append with 128 kB of trailers succeeded. The backend sender already bounded headers and trailers. ClientTest::invalidStatusesAreNoSuccess passed before and stays as a check.

--- a/packages/platform/src/httpcall.cpp
+++ b/packages/platform/src/httpcall.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::chrono::seconds maxConnectionIdle{20};
 constexpr std::chrono::milliseconds pollInterval{1000};
+/// libcurl keeps headers and trailers until the next call, and does not limit trailers.
+constexpr std::size_t maxHeaderBytes = 64UL * 1024;
 
 void initializeCurl()
 {
@@ -34,7 +36,7 @@
                          std::size_t maxAnswerBytes)
 {
     curl_easy_reset(m_easy);
-    Answer answer{{}, maxAnswerBytes, false};
+    Answer answer{{}, maxAnswerBytes};
     curl_easy_setopt(m_easy, CURLOPT_HTTPGET, 1L);
     curl_easy_setopt(m_easy, CURLOPT_MAXAGE_CONN, static_cast<long>(maxConnectionIdle.count()));
     return perform(url, timeout, answer);
@@ -44,7 +46,7 @@
                           std::chrono::milliseconds timeout, std::size_t maxAnswerBytes)
 {
     curl_easy_reset(m_easy);
-    Answer answer{{}, maxAnswerBytes, false};
+    Answer answer{{}, maxAnswerBytes};
     curl_slist *headers = curl_slist_append(nullptr, "Content-Type: application/octet-stream");
     // A request with Expect would wait for an interim answer that the service need not send.
     headers = curl_slist_append(headers, "Expect:");
@@ -66,6 +68,14 @@
     curl_multi_wakeup(m_multi);
 }
 
+std::size_t HttpCall::onHeader(char *, std::size_t size, std::size_t count, void *answer)
+{
+    auto &target = *static_cast<Answer *>(answer);
+    target.headerBytes += size * count;
+    target.isTooLong = target.isTooLong || target.headerBytes > maxHeaderBytes;
+    return target.isTooLong ? 0 : size * count;
+}
+
 std::size_t HttpCall::onBody(char *data, std::size_t size, std::size_t count, void *answer)
 {
     auto &target = *static_cast<Answer *>(answer);
@@ -86,6 +96,8 @@
     curl_easy_setopt(m_easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(m_easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(m_easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+    curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &HttpCall::onHeader);
+    curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, &answer);
     curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, &HttpCall::onBody);
     curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, &answer);
     return toResult(transfer(), answer);
--- a/packages/platform/src/httpcall.h
+++ b/packages/platform/src/httpcall.h
@@ -55,8 +55,11 @@
         std::string body;
         std::size_t limit = 0;
         bool isTooLong = false;
+        /// Bytes of the head, of interim answers and of trailers.
+        std::size_t headerBytes = 0;
     };
 
+    static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *answer);
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *answer);
     CallResult perform(const std::string &url, std::chrono::milliseconds timeout, Answer &answer);
     /// Returns the CURLcode of the transfer.
--- a/packages/platform/tests/clienttest.cpp
+++ b/packages/platform/tests/clienttest.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(malformedReadAnswersAreRefused);
     CPPUNIT_TEST(malformedInstanceListsAreRefused);
     CPPUNIT_TEST(appendFailuresTellWhetherTheRecordMayStandInTheLog);
+    CPPUNIT_TEST(invalidStatusesAreNoSuccess);
+    CPPUNIT_TEST(headersAndTrailersAreBounded);
     CPPUNIT_TEST(cancelEndsALongPoll);
     CPPUNIT_TEST_SUITE_END();
 
@@ -113,6 +115,32 @@
                        == PlatformFailure::Malformed);
     }
 
+    void invalidStatusesAreNoSuccess()
+    {
+        const std::string rest = "\r\nContent-Length: 35\r\n\r\n"
+                                 R"({"first":0,"next":0,  "records":[]})";
+        CPPUNIT_ASSERT(readsAnswer("HTTP/1.1 200 X" + rest));
+        for (const char *status : {"000", "000 X", "099 X", "20 X", "2 X", "0200 X", "2000 X"})
+            CPPUNIT_ASSERT_MESSAGE(status, !readsAnswer(std::string("HTTP/1.1 ") + status + rest));
+    }
+
+    // Guards against a server whose head or trailers do not end, and are all kept in memory.
+    void headersAndTrailersAreBounded()
+    {
+        std::string lines;
+        while (lines.size() < 128UL * 1024)
+            lines += "X: y\r\n";
+        const std::string chunked = "HTTP/1.1 201 X\r\nTransfer-Encoding: chunked\r\n";
+        const std::string body = "c\r\n{\"offset\":1}\r\n0\r\n";
+        CPPUNIT_ASSERT(appendFailure(chunked + "\r\n" + body + lines + "\r\n")
+                       == PlatformFailure::Malformed);
+        CPPUNIT_ASSERT(appendFailure(chunked + lines + "\r\n" + body + "\r\n")
+                       == PlatformFailure::Malformed);
+        FixedAnswerServer server(chunked + "\r\n" + body + "X: y\r\n\r\n");
+        Client client(server.url(), server.url(), callTimeout);
+        CPPUNIT_ASSERT(client.append("s", "x"));
+    }
+
     void cancelEndsALongPoll()
     {
         FakePlatform platform;
@@ -131,6 +159,13 @@
         return client.instances().has_value();
     }
 
+    static bool readsAnswer(const std::string &bytes)
+    {
+        FixedAnswerServer server(bytes);
+        Client client(server.url(), server.url(), callTimeout);
+        return client.read("s", 0, 10, noWait).has_value();
+    }
+
     static PlatformFailure appendFailure(const std::string &bytes)
     {
         FixedAnswerServer server(bytes);
