Backend: Bound the memory of the answers that are received together

An instance of apricotrockd kept what faulty backend servers sent without end: up to 8 MiB for each attempt in flight and without a limit for all of them. A few dozen such answers at the same time use up the memory of a small machine, and the requests of all its callers end with the process.

Cause: AnswerReader bounded each answer, and nothing bounded their sum.

Change: the answers that a sender is receiving share one limit for their bodies. An answer that does not fit is refused like an oversized one, and its memory is given back when it is handed on or ends. The setting limits.answer_memory holds the limit of a lane, 64 MiB by default; it is never less than limits.answer, so that files without it keep their meaning.

Evidence: without the fix, SenderTest::answersThatDoNotEndShareTheMemory failed, because the sender held 8 of 8 answers until their deadline where 2 fit.

--- a/packages/backend/src/answerreader.cpp
+++ b/packages/backend/src/answerreader.cpp
@@ -64,6 +64,11 @@
 {
     if (m_response.body.size() + data.size() > m_limits.maxBodyBytes)
         return refuse();
+    if (m_memory != nullptr) {
+        if (!m_memory->take(data.size()))
+            return refuse();
+        m_takenBytes += data.size();
+    }
     m_response.body.append(data);
     return true;
 }
@@ -71,9 +76,16 @@
 HttpResponse AnswerReader::takeResponse()
 {
     removeHopByHopHeaders(m_response.headers);
+    giveBackMemory();
     return std::move(m_response);
 }
 
+void AnswerReader::giveBackMemory()
+{
+    if (m_memory != nullptr)
+        m_memory->giveBack(std::exchange(m_takenBytes, 0));
+}
+
 bool AnswerReader::refuse()
 {
     m_isInvalid = true;
--- a/packages/backend/src/answerreader.h
+++ b/packages/backend/src/answerreader.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "receivingmemory.h"
+
 #include "apricotrock/http.h"
 
 namespace apricotrock::backend {
@@ -17,7 +19,13 @@
 class AnswerReader
 {
 public:
-    AnswerReader(AnswerLimits limits, bool isHead) : m_limits(limits), m_isHead(isHead) { }
+    /// \a memory may be null.
+    AnswerReader(AnswerLimits limits, bool isHead, ReceivingMemory *memory = nullptr)
+        : m_limits(limits), m_isHead(isHead), m_memory(memory)
+    { }
+    ~AnswerReader() { giveBackMemory(); }
+    AnswerReader(const AnswerReader &) = delete;
+    AnswerReader &operator=(const AnswerReader &) = delete;
 
     /// Takes one line of a head or of trailers, with its line end. False ends the transfer.
     bool addHeaderLine(std::string_view line);
@@ -30,11 +38,12 @@
     /// True after the end of the head of a final answer (not 1xx).
     [[nodiscard]] bool isHeadComplete() const { return m_isHeadComplete; }
     [[nodiscard]] const HttpResponse &response() const { return m_response; }
-    /// Returns the answer without hop-by-hop headers.
+    /// Returns the answer without hop-by-hop headers, and gives its memory back.
     HttpResponse takeResponse();
 
 private:
     bool refuse();
+    void giveBackMemory();
     bool startHead(std::string_view line);
     bool addHeader(std::string_view line);
     bool endHead();
@@ -42,6 +51,8 @@
 
     const AnswerLimits m_limits;
     const bool m_isHead;
+    ReceivingMemory *const m_memory;
+    std::size_t m_takenBytes = 0;
     std::size_t m_headerBytes = 0;
     bool m_isInHead = false;
     /// The line before ended with a line feed alone.
--- a/packages/backend/src/sender.cpp
+++ b/packages/backend/src/sender.cpp
@@ -74,7 +74,7 @@
 {
     Private(Parameters parametersIn, Callbacks callbacksIn)
         : parameters(std::move(parametersIn)), callbacks(std::move(callbacksIn)),
-          commands(parameters.ringEntries)
+          memory(parameters.maxReceivingBytes), commands(parameters.ringEntries)
     {
         commands.setWakeup([this] { loop.wake(); });
         thread = std::thread([this] { run(); });
@@ -107,6 +107,7 @@
     /// Closed by the event loop's last transfers, so it is destroyed after the loop.
     SocketTable sockets;
     EventLoop loop;
+    ReceivingMemory memory;
     std::vector<EasyPtr> spareHandles;
     std::unordered_map<CURL *, std::unique_ptr<Transfer>> transfers;
     std::unordered_map<AttemptId, CURL *> byAttempt;
@@ -147,8 +148,8 @@
 
 void Sender::Private::begin(Transfer::Order order)
 {
-    auto transfer = std::make_unique<Transfer>(TransferContext{&parameters, &sockets}, takeEasy(),
-                                               std::move(order), Clock::now());
+    auto transfer = std::make_unique<Transfer>(TransferContext{&parameters, &sockets, &memory},
+                                               takeEasy(), std::move(order), Clock::now());
     CURL *easy = transfer->easy();
     if (const auto *attempt = std::get_if<AttemptOrder>(&transfer->order()))
         byAttempt[attempt->start.attempt] = easy;
--- a/packages/backend/src/transfer.cpp
+++ b/packages/backend/src/transfer.cpp
@@ -51,7 +51,7 @@
 Transfer::Transfer(TransferContext context, EasyPtr easy, Order order, TimePoint now)
     : m_context(context), m_easy(std::move(easy)), m_order(std::move(order)), m_started(now),
       m_reader({context.parameters->maxHeaderBytes, context.parameters->maxAnswerBytes},
-               isHead(m_order))
+               isHead(m_order), context.memory)
 { }
 
 TimePoint Transfer::deadline() const
--- a/packages/backend/src/transfer.h
+++ b/packages/backend/src/transfer.h
@@ -28,6 +28,7 @@
 {
     const Parameters *parameters = nullptr;
     SocketTable *sockets = nullptr;
+    ReceivingMemory *memory = nullptr;
 };
 
 /// How the pool of connections may serve a transfer.
--- a/packages/backend/tests/sendertest.cpp
+++ b/packages/backend/tests/sendertest.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 using namespace apricotrock;
 using namespace std::chrono_literals;
 using routing::AttemptStatus;
@@ -20,6 +22,10 @@
 
 struct TestSender
 {
+    TestSender() = default;
+    explicit TestSender(backend::Parameters newParameters)
+        : parameters(std::move(newParameters)) { }
+
     void start(AttemptId id, const Endpoint &address, HttpRequest request,
                Duration timeLeft = patience, bool useNewConnection = false)
     {
@@ -46,10 +52,11 @@
         return next();
     }
 
+    const backend::Parameters parameters{64, 1000, 1000, 10s, "a1"};
     BoundedRing<Finished> finished{64};
     BoundedRing<routing::ProbeResult> probes{64};
     backend::Sender sender{
-        {64, 1000, 1000, 10s, "a1"},
+        parameters,
         {[this](routing::AttemptResult result, std::shared_ptr<const HttpResponse> response) {
              finished.tryPush({result, std::move(response)});
          },
@@ -71,6 +78,7 @@
     CPPUNIT_TEST_SUITE(SenderTest);
     CPPUNIT_TEST(faultyAnswersAreNeverHandedOn);
     CPPUNIT_TEST(invalidFieldNamesAreNeverHandedOn);
+    CPPUNIT_TEST(answersThatDoNotEndShareTheMemory);
     CPPUNIT_TEST(secondAnswerIsNotTakenForTheNextRequest);
     CPPUNIT_TEST(requestIsNotWrittenTwiceOnALostConnection);
     CPPUNIT_TEST(lateAnswerIsATimeoutAndClosesTheConnection);
@@ -152,6 +160,37 @@
         CPPUNIT_ASSERT(!sender.run(server.endpoint(), post, patience, true).response);
     }
 
+    // Guards against an instance that runs out of memory because many answers, each within its
+    // limit, are received at the same time and do not end.
+    void answersThatDoNotEndShareTheMemory()
+    {
+        backend::Parameters parameters{64, 1000, 1000, 10s, "a1"};
+        parameters.maxReceivingBytes = 2500;
+        TestSender sender(parameters);
+        const std::string body(900, 'x');
+        RawServer faulty({sendAtOnce("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n" + body)});
+        // run() uses the first id.
+        std::set<AttemptId> held = {2, 3, 4, 5, 6, 7, 8, 9};
+        constexpr std::size_t fitting = 2;
+        for (const AttemptId id : held)
+            sender.start(id, faulty.endpoint(), post, patience, true);
+        while (held.size() > fitting) {
+            const Finished finished = sender.next();
+            CPPUNIT_ASSERT_EQUAL(static_cast<int>(AttemptStatus::AnswerInvalid),
+                                 static_cast<int>(finished.result.status));
+            held.erase(finished.result.attempt);
+        }
+        const std::string good = "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + body;
+        RawServer server({sendAtOnce(good)});
+        CPPUNIT_ASSERT(!sender.run(server.endpoint()).response);
+        for (const AttemptId id : held)
+            sender.sender.cancel(id);
+        for (std::size_t i = 0; i < fitting; ++i)
+            sender.next();
+        for (int i = 0; i < 5; ++i)
+            CPPUNIT_ASSERT(sender.run(server.endpoint()).response);
+    }
+
     // Guards against a duplicated answer that another caller gets for its request.
     void secondAnswerIsNotTakenForTheNextRequest()
     {
--- a/packages/daemon/src/instance.cpp
+++ b/packages/daemon/src/instance.cpp
@@ -113,8 +113,12 @@
         engine.maxDeadline = m_settings.callers.maxDeadline;
         parameters.intakeEntries = m_settings.limits.ringEntries;
         parameters.pendingLimit = m_settings.limits.ringEntries * pendingPerRingEntry;
-        parameters.backend = {parameters.pendingLimit * 4, m_settings.limits.answer,
-                              m_settings.limits.header, backendIdleTime, m_settings.instance.name};
+        parameters.backend = {parameters.pendingLimit * 4,
+                              m_settings.limits.answer,
+                              m_settings.limits.header,
+                              backendIdleTime,
+                              m_settings.instance.name,
+                              std::max(m_settings.limits.answerMemory, m_settings.limits.answer)};
         LaneCallbacks callbacks;
         callbacks.onReply = [this](const auto &reply, Duration time) { onReply(reply, time); };
         callbacks.onAppend = [this](std::uint32_t, const engine::AppendEntries &append) {
--- a/packages/settings/include/apricotrock/settings_generated.h
+++ b/packages/settings/include/apricotrock/settings_generated.h
@@ -83,6 +83,8 @@
     std::uint64_t body{};
     /// Largest answer of a backend server.
     std::uint64_t answer{};
+    /// Memory for answers that a lane is receiving, at least that of the largest one.
+    std::uint64_t answerMemory{};
     /// Largest header block of a request or an answer.
     std::uint64_t header{};
 
--- a/packages/settings/src/settings_generated.cpp
+++ b/packages/settings/src/settings_generated.cpp
@@ -114,6 +114,8 @@
          "Largest request body."},
         {"limits", "answer", FieldType::Bytes, "", "1KiB", "256MiB", std::string("8MiB"),
          "Largest answer of a backend server."},
+        {"limits", "answer_memory", FieldType::Bytes, "", "1KiB", "16GiB", std::string("64MiB"),
+         "Memory for answers that a lane is receiving, at least that of the largest one."},
         {"limits", "header", FieldType::Bytes, "", "1KiB", "1MiB", std::string("16KiB"),
          "Largest header block of a request or an answer."},
     };
@@ -128,7 +130,8 @@
     reader.read(fields[2], object.ringEntries);
     reader.read(fields[3], object.body);
     reader.read(fields[4], object.answer);
-    reader.read(fields[5], object.header);
+    reader.read(fields[5], object.answerMemory);
+    reader.read(fields[6], object.header);
 }
 
 const std::vector<FieldInfo> &callersFields()
