Loop: Refuse chunks whose framing is invalid

A backend server whose chunk is longer or shorter than its size says sent a body that callers got as a complete one: of the chunk "2", "okXX", they got "ok" as the whole body.

Without the strict mode http_parser takes any two bytes for the end of a chunk, and any byte for the line feed after its size.

Change: ChunkScanner reads the bytes of a chunked body before http_parser and requires a carriage return and a line feed after each size and after the data of each chunk. A line feed within an extension is refused. The head is passed to http_parser first, because the coding of the body is known after it.

Evidence: without the fix, InvalidChunkTest::otherBytesAroundAChunkAreNoResponse failed at its first case; validChunksAreReceived shows extensions, trailers and sizes that are still read.

--- a/packages/loop/src/headscanner.cpp
+++ b/packages/loop/src/headscanner.cpp
@@ -12,15 +12,15 @@
 
 } // namespace
 
-bool HeadScanner::feed(std::string_view data)
+std::optional<std::size_t> HeadScanner::feed(std::string_view data)
 {
-    for (const char byte : data) {
-        if (m_part == Part::End)
-            return true;
-        if (!feed(byte))
-            return false;
+    std::size_t used = 0;
+    while (used < data.size() && m_part != Part::End) {
+        if (!feed(data[used]))
+            return std::nullopt;
+        ++used;
     }
-    return true;
+    return used;
 }
 
 bool HeadScanner::feed(char byte)
--- a/packages/loop/src/headscanner.h
+++ b/packages/loop/src/headscanner.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace apricotrock::loop {
@@ -11,9 +13,9 @@
 class HeadScanner
 {
 public:
-    /// Reads \a data, which continues the data of earlier calls, up to the end of the head.
-    /// Returns false if the head is invalid; error() tells why.
-    bool feed(std::string_view data);
+    /// Reads \a data, which continues the data of earlier calls, up to the end of the head. Returns
+    /// the number of bytes read, or nothing if the head is invalid; error() tells why.
+    std::optional<std::size_t> feed(std::string_view data);
     void reset() { *this = {}; }
     [[nodiscard]] std::string_view error() const { return m_error; }
 
--- a/packages/loop/src/messageparser.cpp
+++ b/packages/loop/src/messageparser.cpp
@@ -22,6 +22,7 @@
     hasStarted = hasHeaders = isComplete = keepAlive = needsEnd = false;
     m_lastWasValue = false;
     m_headScanner.reset();
+    m_chunkScanner.reset();
 }
 
 MessageParser &MessageParser::of(http_parser *parser)
@@ -49,10 +50,30 @@
 
 std::size_t MessageParser::feed(const char *data, std::size_t size)
 {
-    if (type == HTTP_RESPONSE && !m_headScanner.feed({data, size})) {
-        errorText = m_headScanner.error();
-        return 0;
+    if (type != HTTP_RESPONSE)
+        return execute(data, size);
+    std::size_t used = 0;
+    if (!hasHeaders) {
+        const std::optional<std::size_t> head = m_headScanner.feed({data, size});
+        if (!head) {
+            errorText = m_headScanner.error();
+            return 0;
+        }
+        used = execute(data, *head);
+        // The coding of the body is known after the head.
+        if (!hasHeaders || isComplete || !errorText.empty() || used == size)
+            return used;
+    }
+    const bool isChunked = (parser.flags & F_CHUNKED) != 0;
+    if (isChunked && !m_chunkScanner.feed({data + used, size - used})) {
+        errorText = "invalid chunk";
+        return used;
     }
+    return used + execute(data + used, size - used);
+}
+
+std::size_t MessageParser::execute(const char *data, std::size_t size)
+{
     const std::size_t used = http_parser_execute(&parser, &settings(), data, size);
     const http_errno error = HTTP_PARSER_ERRNO(&parser);
     if (error == HPE_PAUSED) {
--- a/packages/loop/src/messageparser.h
+++ b/packages/loop/src/messageparser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chunkscanner.h"
 #include "headscanner.h"
 
 #include "apricotrock/loop.h"
@@ -53,9 +54,12 @@
     static const http_parser_settings &settings();
     static MessageParser &of(http_parser *parser);
 
+    /// Passes \a data to http_parser; returns the number of bytes consumed.
+    std::size_t execute(const char *data, std::size_t size);
     int addHeaderBytes(std::size_t count);
 
     HeadScanner m_headScanner;
+    ChunkScanner m_chunkScanner;
     bool m_lastWasValue = false;
 };
 
