Loop: Refuse responses of another protocol

Bytes that are no response of HTTP/1 were read as one: a line such as "HXYZ/1.1 200 OK" or "HTTP-1.1 200 OK" passed for a status line, and callers got what followed.

Without the strict mode http_parser skips the name of the protocol after its first byte; it also takes any major version.

Change: HeadScanner requires "HTTP/1." and a digit, as AnswerReader does for apricotrockd.

--- a/packages/loop/src/headscanner.cpp
+++ b/packages/loop/src/headscanner.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/// A digit follows.
+constexpr std::string_view versionStart = "HTTP/1.";
 constexpr unsigned statusDigits = 3;
 constexpr unsigned minStatus = 100;
 constexpr unsigned maxStatus = 599;
@@ -37,10 +39,7 @@
         return endLine(false);
     switch (m_part) {
     case Part::Version:
-        m_hasBytes = true;
-        if (byte == ' ')
-            m_part = Part::Blanks;
-        return true;
+        return feedVersion(byte);
     case Part::Blanks:
     case Part::Status:
         return feedStatus(byte);
@@ -55,6 +54,17 @@
     return true;
 }
 
+bool HeadScanner::feedVersion(char byte)
+{
+    const std::size_t position = m_versionBytes++;
+    if (position < versionStart.size())
+        return byte == versionStart[position] ? true : fail("invalid version");
+    if (position == versionStart.size())
+        return byte >= '0' && byte <= '9' ? true : fail("invalid version");
+    m_part = Part::Blanks;
+    return byte == ' ' ? true : fail("invalid version");
+}
+
 bool HeadScanner::feedStatus(char byte)
 {
     if (byte >= '0' && byte <= '9') {
@@ -83,10 +93,7 @@
     const bool isLineFeedAlone = !hasCarriageReturn;
     switch (m_part) {
     case Part::Version:
-        // A line without a status, which http_parser reports.
-        if (m_hasBytes)
-            m_part = Part::End;
-        return true;
+        return m_versionBytes == 0 ? true : fail("invalid version");
     case Part::Blanks:
     case Part::Status:
         if (!checkStatus())
--- a/packages/loop/src/headscanner.h
+++ b/packages/loop/src/headscanner.h
@@ -8,8 +8,9 @@
 namespace apricotrock::loop {
 
 /// Checks the head of a response for what http_parser does not check: its library is built without
-/// the strict mode. It accepts a status of any number of digits up to the value 999, blanks in the
-/// names of fields, folded lines, and any byte in place of the line feed after a carriage return.
+/// the strict mode. It accepts other names of the protocol, a status of any number of digits up to
+/// the value 999, blanks in the names of fields, folded lines, and any byte in place of the line
+/// feed after a carriage return.
 class HeadScanner
 {
 public:
@@ -33,6 +34,7 @@
     };
 
     bool feed(char byte);
+    bool feedVersion(char byte);
     bool feedStatus(char byte);
     bool feedName(char byte);
     bool endLine(bool hasCarriageReturn);
@@ -40,7 +42,7 @@
     bool fail(std::string_view error);
 
     Part m_part = Part::Version;
-    bool m_hasBytes = false;
+    std::size_t m_versionBytes = 0;
     bool m_isAfterCarriageReturn = false;
     /// The line before this one ended with a line feed alone.
     bool m_wasLineFeedAlone = false;
--- a/packages/loop/tests/invalidstatustest.cpp
+++ b/packages/loop/tests/invalidstatustest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(InvalidStatusTest);
     CPPUNIT_TEST(statusOutsideTheRangeIsNoResponse);
     CPPUNIT_TEST(interimResponseWithInvalidStatusIsNoResponse);
+    CPPUNIT_TEST(otherVersionIsNoResponse);
     CPPUNIT_TEST(otherStatusesAreReceived);
     CPPUNIT_TEST_SUITE_END();
 
@@ -42,6 +43,18 @@
         expectInvalid(std::string("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 \r\n") + body, false);
     }
 
+    // Guards against bytes that are no response of the protocol and are read as one.
+    void otherVersionIsNoResponse()
+    {
+        for (const char *version : {"HXYZ/1.1", "HTTP-1.1", "HTTP/9.9", "HTTP/0.9", "http/1.1",
+                                    "XHTTP/1.1", "HTTP/1.1/1.1", "HTTP/1.1x", "HTTP/1."}) {
+            for (const bool isSplit : {false, true})
+                expectInvalid(std::string(version) + " 200 OK\r\n" + body, isSplit);
+        }
+        CPPUNIT_ASSERT(receive(std::string("HTTP/1.0 200 OK\r\n") + body, false).status
+                       == ClientStatus::ResponseReceived);
+    }
+
     // Guards against refusing valid statuses, those without a name included.
     void otherStatusesAreReceived()
     {
