Cli: Bound the headers and trailers of answers

A command of the operator that calls an instance kept all trailers of the answer, until its time limit.

Cause: the same as for the calls of an instance to the platform: libcurl keeps trailers and does not limit them, and the command bounded the body only.

Change: callInstance() counts the bytes of the head, of interim answers and of trailers, and ends the call beyond 64 kB.

Evidence: without the fix, NetworkTest::headersAndTrailersAreBounded failed, because an answer with 128 kB of trailers was taken. The load generator of the emulator, a test tool, is left as it is.

--- a/packages/cli/src/network.cpp
+++ b/packages/cli/src/network.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::size_t readBatch = 256;
 constexpr std::size_t maxAnswerBytes = std::size_t(64) * 1024 * 1024;
+/// libcurl keeps headers and trailers until the end of the call, and does not limit trailers.
+constexpr std::size_t maxHeaderBytes = std::size_t(64) * 1024;
 // A single call to the platform must leave time to try again within the command's limit.
 constexpr std::chrono::milliseconds maxCallTimeout{2000};
 
@@ -45,6 +47,13 @@
     return size * count;
 }
 
+std::size_t countHeader(char *, std::size_t size, std::size_t count, void *user)
+{
+    auto &headerBytes = *static_cast<std::size_t *>(user);
+    headerBytes += size * count;
+    return headerBytes <= maxHeaderBytes ? size * count : 0;
+}
+
 Result<HttpResponse> callInstance(const InstanceCall &call)
 {
     const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> handle(curl_easy_init(),
@@ -62,6 +71,9 @@
     curl_easy_setopt(handle.get(), CURLOPT_PROTOCOLS_STR, "http");
     // An HTTP proxy of the operator's shell must not stand between the operator and an instance.
     curl_easy_setopt(handle.get(), CURLOPT_PROXY, "");
+    std::size_t headerBytes = 0;
+    curl_easy_setopt(handle.get(), CURLOPT_HEADERFUNCTION, countHeader);
+    curl_easy_setopt(handle.get(), CURLOPT_HEADERDATA, &headerBytes);
     curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, storeBody);
     curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &response.body);
     const CURLcode code = curl_easy_perform(handle.get());
