Loop: Refuse requests with an invalid head or chunk

A caller could pass bytes to a backend server that it reads in another way: the instance took a request with the line "Transfer-Encoding : chunked", decoded its body, and passed the line on beside a length of its own.

Cause: the same as for responses, in the same parser: without the strict mode, http_parser accepts blanks in the names of fields, folded lines, and other bytes for line feeds.

Change: HeadScanner and ChunkScanner also read requests, which get 400 (RFC 9112, section 5.1). The request line is left to http_parser. Heads whose lines end with a line feed alone are still read.

Evidence: without the fix, HttpTest::invalidHeadsAndChunksAreRefused failed at its first case, where the request reached the handler.

--- a/packages/loop/src/headscanner.cpp
+++ b/packages/loop/src/headscanner.cpp
@@ -38,6 +38,9 @@
     if (byte == '\n')
         return endLine(false);
     switch (m_part) {
+    case Part::Start:
+        m_part = m_firstLine == FirstLine::Request ? Part::RequestLine : Part::Version;
+        return feed(byte);
     case Part::Version:
         return feedVersion(byte);
     case Part::Blanks:
@@ -46,6 +49,7 @@
     case Part::LineStart:
     case Part::Name:
         return feedName(byte);
+    case Part::RequestLine:
     case Part::Reason:
     case Part::Value:
     case Part::End:
@@ -92,8 +96,10 @@
 {
     const bool isLineFeedAlone = !hasCarriageReturn;
     switch (m_part) {
+    case Part::Start:
+        return true;
     case Part::Version:
-        return m_versionBytes == 0 ? true : fail("invalid version");
+        return fail("invalid version");
     case Part::Blanks:
     case Part::Status:
         if (!checkStatus())
@@ -106,6 +112,7 @@
         return isLineFeedAlone && !m_wasLineFeedAlone ? fail("line feed in a field name") : true;
     case Part::Name:
         return fail("invalid field name");
+    case Part::RequestLine:
     case Part::Reason:
     case Part::Value:
     case Part::End:
--- a/packages/loop/src/messageparser.cpp
+++ b/packages/loop/src/messageparser.cpp
@@ -2,7 +2,9 @@
 
 namespace apricotrock::loop {
 
-MessageParser::MessageParser(http_parser_type messageType) : type(messageType)
+MessageParser::MessageParser(http_parser_type messageType)
+    : type(messageType), m_headScanner(messageType == HTTP_REQUEST ? HeadScanner::FirstLine::Request
+                                                                   : HeadScanner::FirstLine::Status)
 {
     reset();
 }
@@ -50,8 +52,6 @@
 
 std::size_t MessageParser::feed(const char *data, std::size_t size)
 {
-    if (type != HTTP_RESPONSE)
-        return execute(data, size);
     std::size_t used = 0;
     if (!hasHeaders) {
         const std::optional<std::size_t> head = m_headScanner.feed({data, size});
--- a/packages/loop/tests/httptest.cpp
+++ b/packages/loop/tests/httptest.cpp
@@ -83,6 +83,7 @@
     CPPUNIT_TEST(refusedConnectionIsConnectFailed);
     CPPUNIT_TEST(callerDisconnectIsDetected);
     CPPUNIT_TEST(ambiguousLengthIsRefused);
+    CPPUNIT_TEST(invalidHeadsAndChunksAreRefused);
     CPPUNIT_TEST(largeHeaderIsRefused);
     CPPUNIT_TEST(chunkedBodyIsReassembled);
     CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
@@ -199,6 +200,23 @@
         CPPUNIT_ASSERT_EQUAL(0U, m_requests);
     }
 
+    // Guards against request smuggling through bytes that a backend server reads in another way.
+    void invalidHeadsAndChunksAreRefused()
+    {
+        const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n";
+        const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        for (const std::string &request :
+             {head + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n", head + "X Y: v\r\n\r\n",
+              head + "X-Y: v\r\n w: u\r\n\r\n", head + "\rX-Y: v\r\n\r\n",
+              head + "\nX-Y: v\r\n\r\n", chunked + "2\r\nokXX0\r\n\r\n",
+              chunked + "2\rXok\r\n0\r\n\r\n"}) {
+            CPPUNIT_ASSERT_MESSAGE(request, sendRaw(request).starts_with("HTTP/1.1 400"));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(request, 0U, m_requests);
+        }
+        CPPUNIT_ASSERT(sendRaw("\r\nPOST /a HTTP/1.1\nHost: h\nContent-Length: 0\n\n")
+                           .starts_with("HTTP/1.1 200"));
+    }
+
     // Guards against unbounded memory use by request headers.
     void largeHeaderIsRefused()
     {
