--- a/packages/backend/include/apricotrock/backend.h
+++ b/packages/backend/include/apricotrock/backend.h
@@ -15,7 +15,8 @@
     std::chrono::seconds maxIdle{10};
     /// Name of this instance for the Served-By header towards backend servers.
     std::string instance;
-    /// Bodies of all answers together that are being received; one that does not fit is refused.
+    /// Limit of the bodies of all answers that are being received; one that does not fit is
+    /// refused.
     std::size_t maxReceivingBytes = std::size_t(64) * 1024 * 1024;
 };
 
--- a/packages/backend/src/answerreader.h
+++ b/packages/backend/src/answerreader.h
@@ -54,6 +54,7 @@
     ReceivingMemory *const m_memory;
     std::size_t m_takenBytes = 0;
     std::size_t m_headerBytes = 0;
+    /// A status line was read, and the end of its head was not.
     bool m_isInHead = false;
     /// The line before ended with a line feed alone.
     bool m_isLineFeedAlone = false;
--- a/packages/http/include/apricotrock/http.h
+++ b/packages/http/include/apricotrock/http.h
@@ -60,9 +60,9 @@
 
 /// Returns the value of the first header \a name, or nothing.
 std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view name);
-/// Returns true for the characters of a token (RFC 9110, section 5.6.2), which make up the names of
-/// headers.
+/// Returns true for the characters of a token (RFC 9110, section 5.6.2).
 bool isTokenCharacter(char character);
+/// Returns true if \a text is a token, as the names of headers are; an empty text is none.
 bool isToken(std::string_view text);
 bool equalsIgnoringCase(std::string_view a, std::string_view b);
 /// Returns the usual reason phrase of \a status, or "Status".
