Gateway: Report the usable servers and the reader in metrics

Two instances with the same position in the server records can hold different tables. Neither the log nor the metrics show that: the position is equal, and a removal that was never applied leaves no line.

Adds the gauges apricotrock_usable_servers and apricotrock_store_reader.

--- a/packages/gateway/src/tablesync.cpp
+++ b/packages/gateway/src/tablesync.cpp
@@ -76,9 +76,21 @@
         "apricotrock_evacuation_records_ignored",
         "Records of evacuations beyond the bound of their number or length.", {},
         [this] { return static_cast<double>(m_context.evacuations.ignoredRecords()); });
+    m_context.metrics.gauge(
+        "apricotrock_usable_servers", "Backend servers that may get new requests.", {}, [this] {
+            const auto &servers = m_context.servers.servers();
+            const TimePoint now = Clock::now();
+            return static_cast<double>(
+                std::count_if(servers.begin(), servers.end(), [this, now](const auto &each) {
+                    return isUsable(m_context, each.second, now);
+                }));
+        });
     m_context.metrics.gauge(
         "apricotrock_server_position", "Position in the server records.", {},
         [this] { return static_cast<double>(m_context.servers.position().offset); });
+    m_context.metrics.gauge("apricotrock_store_reader",
+                            "1 while this instance reads the store for the fleet.", {},
+                            [this] { return m_wasReading && isReader() ? 1.0 : 0.0; });
     m_context.metrics.gauge("apricotrock_store_era", "Highest era of the store that was reported.",
                             {}, [this] { return static_cast<double>(m_storeEra); });
     m_context.metrics.gauge("apricotrock_configuration_overdue",
