Gateway: Send the merged records of backend servers to peers

Cause: the raw records for peers were kept in a second table beside the directory and updated before a read was merged. If a read held the first record of a server and its removal, the removal was compared with a directory that did not know the server yet, and was dropped. The table kept the value of the first record with the position of the removal.

The directory now holds the text of each record, and updates and tables for peers are made from the merged state. There is no second table that can differ.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -176,6 +176,8 @@
     std::string id;
     StorePosition position;
     std::optional<ServerEntry> entry;
+    /// The record as the store holds it, for other instances. Empty if there is no entry.
+    std::string text = {};
 };
 
 /// The newest record of a backend server, and the state that this instance derives from it.
--- a/packages/gateway/src/serversync.cpp
+++ b/packages/gateway/src/serversync.cpp
@@ -1,6 +1,7 @@
 #include "tablesync.h"
 
 #include <algorithm>
+#include <set>
 
 // Reads the backend servers from the store and applies them; tablesync.cpp decides when they are
 // read.
@@ -115,21 +116,6 @@
     m_context.servers.storeAnswered(Clock::now());
 }
 
-void TableSync::keepRecord(const StoredRecord &record, const fleet::ServerRecord &decoded)
-{
-    const bool isNewer = m_context.servers.accepts(decoded);
-    StoredRecord &known = m_records[record.key];
-    known.key = record.key;
-    known.position = std::max(known.position, record.position);
-    if (!isNewer)
-        return;
-    // Peers need to know only that a record names no server. It can be too large for a datagram.
-    if (decoded.entry)
-        known.value = record.value;
-    else
-        known.value.reset();
-}
-
 void TableSync::applyServers(const std::vector<StoredRecord> &records, fleet::StorePosition from,
                              fleet::StorePosition end, bool isSnapshot, std::string_view source)
 {
@@ -144,7 +130,10 @@
                 .counter("server_records_unreadable_total",
                          "Records of backend servers that name no usable server.")
                 .add();
-        keepRecord(record, each);
+        // Peers need to know only that a record names no server. It can be too large for a
+        // datagram.
+        if (each.entry)
+            each.text = *record.value;
         decoded.push_back(std::move(each));
     }
     const fleet::StorePosition before = m_context.servers.position();
@@ -165,10 +154,15 @@
     m_handlers.serversChanged();
     if (source != "store" || isSnapshot || !(isReader() || isZoneReader()))
         return;
-    std::vector<StoredRecord> updates;
-    updates.reserve(changes.size());
+    // A server that changed several times is sent once, with its newest record.
+    std::set<std::string_view> changed;
     for (const auto &change : changes)
-        updates.push_back(m_records[change.id]);
+        changed.insert(change.id);
+    std::vector<StoredRecord> updates;
+    updates.reserve(changed.size());
+    const auto &servers = m_context.servers.servers();
+    for (const std::string_view id : changed)
+        updates.push_back(toStoredRecord(servers.at(std::string(id)).record));
     broadcastUpdates(std::move(updates), from, end);
 }
 
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -92,6 +92,14 @@
 
 } // namespace
 
+StoredRecord toStoredRecord(const fleet::ServerRecord &record)
+{
+    StoredRecord stored{record.id, record.position, std::nullopt};
+    if (record.entry)
+        stored.value = record.text;
+    return stored;
+}
+
 void TableSync::broadcastUpdates(std::vector<StoredRecord> updates, fleet::StorePosition from,
                                  fleet::StorePosition end)
 {
@@ -415,15 +423,11 @@
     wire::GatewayMessageT message;
     message.tables = std::make_unique<wire::TableState>(state());
     addEvacuations(m_context.evacuations, message);
-    const bool hasEra = message.tables->store_era() > 0;
     std::vector<StoredRecord> updates;
-    const auto &servers = m_context.servers.servers();
-    for (const auto &[id, record] : m_records) {
-        const auto known = servers.find(id);
-        // A record that is missing from the first read of a new era belongs to an older one.
-        const bool isLost = hasEra && (known == servers.end() || !known->second.record.entry);
-        if (record.value && !isLost)
-            updates.push_back(record);
+    for (const auto &[id, server] : m_context.servers.servers()) {
+        // The receiver takes servers that are missing for removed.
+        if (server.record.entry)
+            updates.push_back(toStoredRecord(server.record));
     }
     packUpdates(updates, message);
     // The receiver may read records from a copy that are obsolete.
--- a/packages/gateway/src/tablesync.h
+++ b/packages/gateway/src/tablesync.h
@@ -21,6 +21,9 @@
 /// pause. They confirm no configuration.
 inline constexpr Duration stallLimit = std::chrono::milliseconds(400);
 
+/// Returns \a record in the form in which instances exchange it.
+StoredRecord toStoredRecord(const fleet::ServerRecord &record);
+
 /// Keeps the configuration and the backend servers up to date with few calls to the store.
 ///
 /// One instance, the reader, reads the store and distributes changes to the others. An instance
@@ -89,8 +92,6 @@
     void handleStoreFailure(std::string_view operation, const Error &error);
     void applyServers(const std::vector<StoredRecord> &records, fleet::StorePosition from,
                       fleet::StorePosition end, bool isSnapshot, std::string_view source);
-    /// Updates the raw record that is sent to peers, before \a decoded is merged.
-    void keepRecord(const StoredRecord &record, const fleet::ServerRecord &decoded);
     void applyConfiguration(const std::string &text, std::string_view source);
     /// Applies records of the topic of the configuration. \a snapshotEnd is the position up to
     /// which they are complete, if they are the newest records of all keys.
@@ -140,8 +141,6 @@
     PeerChannel &m_peers;
     Handlers m_handlers;
     loop::HttpListener m_listener;
-    /// Raw records of the backend servers, sent to peers.
-    std::map<std::string, StoredRecord> m_records;
     /// Position after the last record that changed routing.
     fleet::StorePosition m_lastChange;
     /// Leaving servers that the other instances are not told of yet.
