Fleet: Do not add servers from records before the position

All records before the position of a directory have been merged. A record from there for an unknown server is therefore one of a server that was removed since, and is dropped.

ServerDirectoryTest::lateRecordsDoNotBringAServerBack failed before; newSnapshotAddsMissingServers guards the exception.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -225,7 +225,8 @@
     };
 
     /// True if \a record replaces what is known of its server. Within an era, the higher position
-    /// decides. Between records of different eras, the position does not show whether a record
+    /// decides; a record from before the position of the directory adds no server that is unknown.
+    /// Between records of different eras, the position does not show whether a record
     /// comes from the copy: the sequence number decides between records of one process, and the
     /// start time between records of different processes.
     [[nodiscard]] bool accepts(const ServerRecord &record) const;
@@ -297,6 +298,8 @@
     bool m_hasSnapshot = false;
     /// True while the first snapshot of an era is merged.
     bool m_isFirstOfEra = false;
+    /// True while a snapshot is merged that is not older than the position.
+    bool m_isNewSnapshot = false;
     std::optional<TimePoint> m_outageSince;
     std::optional<TimePoint> m_outageEnded;
 };
--- a/packages/fleet/src/serverdirectory.cpp
+++ b/packages/fleet/src/serverdirectory.cpp
@@ -88,8 +88,10 @@
 {
     const auto found = m_servers.find(record.id);
     if (found == m_servers.end()) {
+        // All records before the position have been merged, so that the server was removed since.
+        const bool isPast = m_hasSnapshot && !m_isNewSnapshot && record.position < m_position;
         // A server that the newer era does not know may have been lost with the older one.
-        return record.entry && record.position.era >= m_position.era;
+        return record.entry && record.position.era >= m_position.era && !isPast;
     }
     const ServerRecord &known = found->second.record;
     const bool isLater = record.position > known.position;
@@ -314,9 +316,11 @@
             all.push_back({id, last, std::nullopt});
     }
     m_isFirstOfEra = m_hasSnapshot && end.era > m_position.era;
+    m_isNewSnapshot = end >= m_position;
     m_hasSnapshot = true;
     auto changes = merge(all, now);
     m_isFirstOfEra = false;
+    m_isNewSnapshot = false;
     return changes;
 }
 
--- a/packages/fleet/tests/serverdirectorytest.cpp
+++ b/packages/fleet/tests/serverdirectorytest.cpp
@@ -76,6 +76,8 @@
     CPPUNIT_TEST(sequenceDoesNotMatterWithinAnEra);
     CPPUNIT_TEST(serverThatTheCopyDoesNotHoldRegistersTheSameRecord);
     CPPUNIT_TEST(obsoleteRecordsAreForgotten);
+    CPPUNIT_TEST(lateRecordsDoNotBringAServerBack);
+    CPPUNIT_TEST(newSnapshotAddsMissingServers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -473,6 +475,29 @@
 
 private:
     TimePoint m_now{1h};
+
+    // Guards against a datagram, or the table of an instance that is behind, that brings back a
+    // server which was removed before the snapshot of this instance.
+    void lateRecordsDoNotBringAServerBack()
+    {
+        ServerDirectory directory;
+        directory.mergeSnapshot({makeRecord("b", 2)}, {0, 10}, m_now);
+        directory.advanceTo({0, 10});
+        CPPUNIT_ASSERT(directory.merge({makeRecord("a", 5)}, m_now).empty());
+        directory.mergeSnapshot({makeRecord("a", 5), makeRecord("b", 2)}, {0, 8}, m_now);
+        CPPUNIT_ASSERT(!directory.servers().contains("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.merge({makeRecord("a", 10)}, m_now).size());
+    }
+
+    // Guards against a table that a newer snapshot cannot complete.
+    void newSnapshotAddsMissingServers()
+    {
+        ServerDirectory directory;
+        directory.mergeSnapshot({}, {0, 10}, m_now);
+        directory.advanceTo({0, 10});
+        directory.mergeSnapshot({makeRecord("a", 5)}, {0, 10}, m_now);
+        CPPUNIT_ASSERT(directory.servers().contains("a"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerDirectoryTest);
