Gateway: Do not skip records that the reader has not seen

Cause: an instance takes over the position of the reader if the reader knows of no later change. A reader that has just started knows the newest records only.

The others read the records up to it from the store, or the table of a peer while the store fails, and take over positions from there on. No message changes: last_change keeps its form, and instances of the former build catch up too. The new log line server_updates_missed names both positions.

--- a/packages/gateway/src/serversync.cpp
+++ b/packages/gateway/src/serversync.cpp
@@ -144,6 +144,10 @@
         m_context.servers.advanceTo(end);
     for (const auto &change : changes)
         m_lastChange = std::max(m_lastChange, {change.position.era, change.position.offset + 1});
+    // A snapshot does not show which servers were removed before it, so that others must not skip
+    // the records up to its end.
+    if (isSnapshot)
+        m_lastChange = std::max(m_lastChange, end);
     if (isRestored && (isReader() || isZoneFetcher())) {
         m_obsoleteReports = obsoleteReports;
         reportObsoleteServers();
--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -294,8 +294,14 @@
     m_isCatchUpScheduled = true;
     m_context.timers.callAfter(catchUpDelay, [this, ip, position] {
         m_isCatchUpScheduled = false;
-        if (m_context.servers.position() >= position)
+        const fleet::StorePosition known = m_context.servers.position();
+        if (known >= position)
             return;
+        m_context.log.write(EventLog::Level::Info, "server_updates_missed", [&](LogLine &line) {
+            line.text("peer", ip)
+                .number("position", static_cast<std::int64_t>(known.offset))
+                .number("changed_until", static_cast<std::int64_t>(position.offset));
+        });
         // A datagram was lost, or the changes do not fit into one. The store returns only what is
         // missing; the peer returns all, but can be reached by an instance without the store.
         if (m_isStoreFailing)
--- a/packages/gateway/src/tablesync.h
+++ b/packages/gateway/src/tablesync.h
@@ -141,7 +141,8 @@
     PeerChannel &m_peers;
     Handlers m_handlers;
     loop::HttpListener m_listener;
-    /// Position after the last record that changed routing.
+    /// Position after the last record that changed routing, or the end of the last snapshot if it
+    /// is higher. The records from there on are known to contain no other change.
     fleet::StorePosition m_lastChange;
     /// Leaving servers that the other instances are not told of yet.
     std::vector<fleet::LeavingServer> m_newlyLeaving;
