Quota: Grant by zones that were heard in the last 0.8 s

Cause: shares came from Membership::contact(), where the instances of other zones stay alive for 4.5 s. Until then the owner and the stand-in on the other side of the cut both refilled at the whole rate, the stand-in after a slow first second.

Shares now come from Membership::zoneContact(): the instances of another zone count as reached only if one of them was heard in the last 0.8 s.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -494,6 +494,11 @@
     /// Peers that were added less than 12 s ago and have not sent a message yet count as known,
     /// because they may lead another part.
     [[nodiscard]] FleetContact recentContact(TimePoint now) const;
+    /// Returns the contact for limits that two separated parts of the fleet must not exceed
+    /// together: the instances of another availability zone count as alive only if one of them was
+    /// heard less than 0.8 s ago. This shows a partition between zones before its instances count
+    /// as lost.
+    [[nodiscard]] FleetContact zoneContact(TimePoint now) const;
     /// Returns the IP numbers of the other instances that accept connections from callers: those
     /// alive, or if there are none, those that count as known in contact().
     [[nodiscard]] std::vector<std::string> otherServing(TimePoint now) const;
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -36,6 +36,11 @@
 /// heartbeat intervals and the scheduling delay of a small machine.
 constexpr Duration recentContactTimeout = milliseconds(1200);
 
+/// An availability zone from which nothing was heard for this long does not count in zoneContact().
+/// Longer than an interval of the zone reports with its delays, and shorter than the time in which
+/// a new owner of a quota refills slowly.
+constexpr Duration zoneContactTimeout = milliseconds(800);
+
 /// Returns the weighted rendezvous score: the share of roles of an instance is proportional to its
 /// weight.
 double weightedScore(std::string_view role, const std::string &ip, double weight)
@@ -290,6 +295,30 @@
     return recent;
 }
 
+FleetContact Membership::zoneContact(TimePoint now) const
+{
+    struct Zone
+    {
+        std::size_t alive = 0;
+        TimePoint lastHeard;
+    };
+    std::map<std::string_view, Zone> zones;
+    FleetContact result;
+    for (const auto &[ip, peer] : m_peers) {
+        result.known += peer.isAlive || isRecentlyLost(peer, now) ? 1 : 0;
+        if (!peer.isAlive)
+            continue;
+        Zone &zone = zones[peer.info.availabilityZone];
+        ++zone.alive;
+        zone.lastHeard = std::max(zone.lastHeard, peer.lastHeard);
+    }
+    for (const auto &[name, zone] : zones) {
+        if (name == m_self.availabilityZone || now - zone.lastHeard < zoneContactTimeout)
+            result.alive += zone.alive;
+    }
+    return result;
+}
+
 std::vector<std::string> Membership::otherServing(TimePoint now) const
 {
     std::vector<std::string> alive;
--- a/packages/fleet/tests/membershiptest.cpp
+++ b/packages/fleet/tests/membershiptest.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(leaderFollowsEveryChangeOfTheCandidates);
     CPPUNIT_TEST(recentlyLostInstancesAreKnown);
     CPPUNIT_TEST(instanceThatHearsNobodyReachesOnlyItself);
+    CPPUNIT_TEST(zoneThatIsNotHeardIsNotReached);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -77,6 +78,27 @@
         CPPUNIT_ASSERT(!membership.contact(start + 16s).hasLostHalf());
     }
 
+    // Guards against an instance that grants for another availability zone until the instances of
+    // that zone count as lost, and against counting a zone as lost while one instance of it is
+    // heard.
+    void zoneThatIsNotHeardIsNotReached()
+    {
+        const auto makeZoneInfo = [](const std::string &ip, const std::string &zone) {
+            InstanceInfo info = makeInfo(ip);
+            info.availabilityZone = zone;
+            return info;
+        };
+        Membership membership(makeZoneInfo("10.0.0.1", "a"));
+        membership.updatePeer(makeZoneInfo("10.0.0.2", "a"), m_now);
+        for (int i = 1; i <= 4; ++i)
+            membership.updatePeer(makeZoneInfo("10.0.1." + std::to_string(i), "b"), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), membership.zoneContact(m_now + 799ms).alive);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), membership.zoneContact(m_now + 800ms).alive);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), membership.zoneContact(m_now + 800ms).known);
+        membership.updatePeer(makeZoneInfo("10.0.1.1", "b"), m_now + 1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), membership.zoneContact(m_now + 1s).alive);
+    }
+
     // Guards against an instance that uses the limits of the whole fleet after it was cut off,
     // until its peers count as lost, or after its start, until it has heard those that it was told
     // of.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -119,7 +119,7 @@
                 [this](const std::string &role, TimePoint now) {
                     return context.membership.leaderFor(role, false, now);
                 },
-                [this](TimePoint now) { return context.membership.contact(now); },
+                [this](TimePoint now) { return context.membership.zoneContact(now); },
                 [this](const auto &ip, const auto &organisation) {
                     quotaOwnerSilent(ip, organisation);
                 },
--- a/packages/gateway/tests/quotaallocatortest.cpp
+++ b/packages/gateway/tests/quotaallocatortest.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <list>
 #include <queue>
+#include <set>
 #include <unordered_set>
 
 using namespace apricotrock;
@@ -58,7 +59,7 @@
             environment.ownerOf = [this](const std::string &role, TimePoint now) {
                 return membership.leaderFor(role, false, now);
             };
-            environment.contact = [this](TimePoint now) { return membership.contact(now); };
+            environment.contact = [this](TimePoint now) { return membership.zoneContact(now); };
             environment.ownerSilent = [this](const std::string &silent, const std::string &) {
                 if (fleet.m_now - membership.peers().at(silent).lastHeard > 40ms)
                     membership.markSuspect(silent, 600ms, fleet.m_now);
@@ -203,6 +204,8 @@
     std::list<Load> &loads() { return m_loads; }
     TimePoint now() const { return m_now; }
     double lossRate = 0;
+    /// The availability zones that are partitioned from the others.
+    std::set<std::string> cutZones;
     std::size_t quotaDatagrams = 0;
 
 private:
@@ -263,6 +266,8 @@
         Node &to = find(ip);
         if (!from.canSend || !to.canReceive || !from.isAlive || !to.isAlive || uniform() < lossRate)
             return;
+        if (isInCutZone(from) != isInCutZone(to))
+            return;
         const Duration latency = from.index % 4 == to.index % 4 ? 200us : 900us;
         runAt(to, m_now + latency,
               [this, &to, receive, sender = from.ip, id = from.membership.self().incarnation] {
@@ -270,6 +275,10 @@
                   receive(to);
               });
     }
+    bool isInCutZone(const Node &node) const
+    {
+        return cutZones.contains(node.membership.self().availabilityZone);
+    }
     /// Tells \a ip about \a node, and \a node about it.
     void sayHello(Node &node, const std::string &ip, bool wantsInstances)
     {
@@ -465,6 +474,7 @@
     CPPUNIT_TEST(frozenOwner);
     CPPUNIT_TEST(isolatedInstances);
     CPPUNIT_TEST(instancesCutOffInOneDirection);
+    CPPUNIT_TEST(zonesCutOff);
     CPPUNIT_TEST(twoOwners);
     CPPUNIT_TEST(loweredQuota);
     CPPUNIT_TEST(lostDatagrams);
@@ -597,6 +607,23 @@
         }
     }
 
+    // Guards against a stand-in that refills at the whole rate beside the owner until its fleet
+    // counts the other zones as lost. The buckets of idle organisations are full when the cut
+    // begins.
+    void zonesCutOff()
+    {
+        for (const std::size_t size : {28U, 123U}) {
+            for (const std::set<std::string> &zones :
+                 {std::set<std::string>{"3"}, std::set<std::string>{"2", "3"}}) {
+                for (const quota::Limit &limit :
+                     {quota::Limit{40, 40}, largeLimit, quota::Limit{1000, 100}}) {
+                    for (const Duration length : {Duration(1s), Duration(5s)})
+                        expectWithinQuota(size, zones, limit, length);
+                }
+            }
+        }
+    }
+
     // Guards against a bound that holds only while all instances agree on the owner.
     void twoOwners()
     {
@@ -699,6 +726,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), verdicts.size());
         CPPUNIT_ASSERT(verdicts.front() == quota::Verdict::Unknown);
     }
+
+private:
+    /// Partitions \a zones from the others for \a length while each of several organisations,
+    /// whose owners are on either side, sends three times its quota.
+    static void expectWithinQuota(std::size_t size, const std::set<std::string> &zones,
+                                  const quota::Limit &limit, Duration length)
+    {
+        constexpr int count = 8;
+        Fleet fleet(size);
+        for (int i = 0; i < count; ++i) {
+            fleet.addLoad("tenant-" + std::to_string(i), limit, [&limit](Duration time) {
+                return time > 3s ? 3 * limit.rate : limit.rate / 2;
+            });
+        }
+        fleet.at(4s, [&] { fleet.cutZones = zones; });
+        fleet.at(4s + length, [&] { fleet.cutZones.clear(); });
+        fleet.run(10s + length);
+        double during = 0;
+        const std::string what =
+            std::to_string(size) + " instances, " + std::to_string(zones.size()) + " zones cut off";
+        for (const Fleet::Load &each : fleet.loads()) {
+            assertWithin(1, worstWindow(each, limit), what);
+            during += grantedBetween(each, 4s, 4s + length) / limit.rate / count;
+        }
+        assertAtLeast(0.6, during, what + ", granted");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(QuotaAllocatorTest);
--- a/packages/quota/src/budget.cpp
+++ b/packages/quota/src/budget.cpp
@@ -63,8 +63,11 @@
 
 void refill(Budget &budget, TimePoint now)
 {
+    // Senders that disagree on the owner ask several stand-ins at the same time.
+    const TimePoint settlingUntil =
+        budget.standing == Standing::StandIn ? TimePoint::max() : budget.settlingUntil;
     const TimePoint settled =
-        std::clamp(budget.settlingUntil, budget.updated, std::max(budget.updated, now));
+        std::clamp(settlingUntil, budget.updated, std::max(budget.updated, now));
     const double seconds =
         secondsBetween(budget.updated, settled) * settlingRateFactor + secondsBetween(settled, now);
     const double added = seconds * refillRate(budget);
