Quota: Know lost instances for a minute

Cause: for shares of quotas, lost instances counted as known for 12 s only. Then each side took itself for the fleet.

They now count for as long as the membership keeps them, 60 s.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -497,7 +497,7 @@
     /// Returns the contact for limits that two separated parts of the fleet must not exceed
     /// together: the instances of another availability zone count as alive only if one of them was
     /// heard less than 0.8 s ago. This shows a partition between zones before its instances count
-    /// as lost.
+    /// as lost. Lost instances are known for as long as they are kept, 60 s.
     [[nodiscard]] FleetContact zoneContact(TimePoint now) const;
     /// Returns the IP numbers of the other instances that accept connections from callers: those
     /// alive, or if there are none, those that count as known in contact().
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -305,7 +305,7 @@
     std::map<std::string_view, Zone> zones;
     FleetContact result;
     for (const auto &[ip, peer] : m_peers) {
-        result.known += peer.isAlive || isRecentlyLost(peer, now) ? 1 : 0;
+        result.known += peer.isAlive || peer.lostAt ? 1 : 0;
         if (!peer.isAlive)
             continue;
         Zone &zone = zones[peer.info.availabilityZone];
--- a/packages/gateway/tests/quotaallocatortest.cpp
+++ b/packages/gateway/tests/quotaallocatortest.cpp
@@ -617,7 +617,7 @@
                  {std::set<std::string>{"3"}, std::set<std::string>{"2", "3"}}) {
                 for (const quota::Limit &limit :
                      {quota::Limit{40, 40}, largeLimit, quota::Limit{1000, 100}}) {
-                    for (const Duration length : {Duration(1s), Duration(5s)})
+                    for (const Duration length : {Duration(1s), Duration(5s), Duration(30s)})
                         expectWithinQuota(size, zones, limit, length);
                 }
             }
