--- a/packages/fleet/tests/serverdirectorytest.cpp
+++ b/packages/fleet/tests/serverdirectorytest.cpp
@@ -473,9 +473,6 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.merge({restarted}, m_now).size());
     }
 
-private:
-    TimePoint m_now{1h};
-
     // Guards against a datagram, or the table of an instance that is behind, that brings back a
     // server which was removed before the snapshot of this instance.
     void lateRecordsDoNotBringAServerBack()
@@ -498,6 +495,9 @@
         directory.mergeSnapshot({makeRecord("a", 5)}, {0, 10}, m_now);
         CPPUNIT_ASSERT(directory.servers().contains("a"));
     }
+
+private:
+    TimePoint m_now{1h};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerDirectoryTest);
