Fleet: Count only a time without any store response as an outage

Cause: one call without a response within 350 ms, whatever it was for, counted as the begin of an outage. Removals that are read then, or up to 2.1 s later, take effect only after a grace period, which each further late response extended.

Change: an outage is a time without any response, counted from the last one before the first failed call, that is long enough for registrations to expire (1.5 x heartbeatS; three intervals of silence minus the age of the last write).

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -251,10 +251,16 @@
     [[nodiscard]] std::vector<LeavingServer> leavingServers() const;
     /// Records that all records before \a position have been merged.
     void advanceTo(StorePosition position);
-    /// Record the outcome of a call to the store. Servers whose removal is read during or shortly
-    /// after an outage stay usable for a grace period, in which they can register again.
+    /// Sets the shortest time without an answer of the store in which registrations can expire.
+    void setMinOutage(Duration length) { m_minOutage = length; }
+    /// Record the outcome of a call to the store. An outage is a time without any answer, from the
+    /// last one before the first failed call, that is at least as long as the minimum. Servers
+    /// whose removal is read during or shortly after an outage stay usable for a grace period, in
+    /// which they can register again.
     void storeAnswered(TimePoint now);
     void storeFailed(TimePoint now);
+    /// True while the store is in an outage.
+    [[nodiscard]] bool isInOutage(TimePoint now) const;
     /// Removes servers whose grace period after a store outage has ended, and returns these
     /// changes.
     std::vector<Change> expire(TimePoint now);
@@ -300,7 +306,10 @@
     bool m_isFirstOfEra = false;
     /// True while a snapshot is merged that is not older than the position.
     bool m_isNewSnapshot = false;
-    std::optional<TimePoint> m_outageSince;
+    Duration m_minOutage = std::chrono::milliseconds(2250);
+    std::optional<TimePoint> m_lastAnswer;
+    /// Last answer before the first of the calls that failed since.
+    std::optional<TimePoint> m_unansweredSince;
     std::optional<TimePoint> m_outageEnded;
 };
 
--- a/packages/fleet/src/serverdirectory.cpp
+++ b/packages/fleet/src/serverdirectory.cpp
@@ -48,21 +48,26 @@
 
 void ServerDirectory::storeFailed(TimePoint now)
 {
-    if (!m_outageSince)
-        m_outageSince = now;
+    if (!m_unansweredSince)
+        m_unansweredSince = m_lastAnswer.value_or(now);
+}
+
+bool ServerDirectory::isInOutage(TimePoint now) const
+{
+    return m_unansweredSince && now - *m_unansweredSince >= m_minOutage;
 }
 
 void ServerDirectory::storeAnswered(TimePoint now)
 {
-    if (!m_outageSince)
-        return;
-    m_outageSince.reset();
-    m_outageEnded = now;
+    if (isInOutage(now))
+        m_outageEnded = now;
+    m_unansweredSince.reset();
+    m_lastAnswer = now;
 }
 
 std::optional<TimePoint> ServerDirectory::removalGrace(TimePoint now) const
 {
-    if (m_outageSince)
+    if (isInOutage(now))
         return now + registrationGrace + outageDetectionDelay;
     if (m_isFirstOfEra)
         return now + registrationGrace;
@@ -333,7 +338,7 @@
 {
     std::vector<Change> changes;
     for (auto &[id, server] : m_servers) {
-        if (m_outageSince && server.removalGraceUntil)
+        if (isInOutage(now) && server.removalGraceUntil)
             server.removalGraceUntil = now + registrationGrace;
         if (!server.removalGraceUntil || now < *server.removalGraceUntil)
             continue;
--- a/packages/fleet/tests/serverdirectorytest.cpp
+++ b/packages/fleet/tests/serverdirectorytest.cpp
@@ -56,6 +56,8 @@
     CPPUNIT_TEST(snapshotKeepsServersRegisteredAfterIt);
     CPPUNIT_TEST(removalWithoutOutageTakesEffectImmediately);
     CPPUNIT_TEST(removalDuringOutageIsDelayed);
+    CPPUNIT_TEST(removalAfterOneFailedCallTakesEffect);
+    CPPUNIT_TEST(outageBeginsWithTheLastResponse);
     CPPUNIT_TEST(newRegistrationIsReportedAsChange);
     CPPUNIT_TEST(serverMissingAfterGracePeriodIsRemoved);
     CPPUNIT_TEST(drainingServerStaysUnusableDuringOutage);
@@ -417,6 +419,39 @@
         CPPUNIT_ASSERT(isUsable(directory, "a"));
     }
 
+    // Guards against taking one call without a response for an outage: a server that is removed
+    // then would stay in use.
+    void removalAfterOneFailedCallTakesEffect()
+    {
+        ServerDirectory directory;
+        directory.merge({makeRecord("a", 1), makeRecord("b", 2)}, m_now);
+        directory.storeAnswered(m_now);
+        m_now += 1200ms;
+        directory.storeFailed(m_now);
+        directory.merge({makeRemoval("a", 3)}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "a"));
+        m_now += 200ms;
+        directory.storeAnswered(m_now);
+        directory.merge({makeRemoval("b", 4)}, m_now);
+        CPPUNIT_ASSERT(!isUsable(directory, "b"));
+    }
+
+    // Guards against counting an outage from its first failed call only, which follows a long poll.
+    void outageBeginsWithTheLastResponse()
+    {
+        ServerDirectory directory;
+        directory.setMinOutage(2s);
+        directory.merge({makeRecord("a", 1)}, m_now);
+        directory.storeAnswered(m_now);
+        m_now += 1500ms;
+        directory.storeFailed(m_now);
+        CPPUNIT_ASSERT(!directory.isInOutage(m_now));
+        m_now += 500ms;
+        CPPUNIT_ASSERT(directory.isInOutage(m_now));
+        directory.merge({makeRemoval("a", 2)}, m_now);
+        CPPUNIT_ASSERT(isUsable(directory, "a"));
+    }
+
     // Guards against an instance that reads the store and does not report to the others that an
     // expired server has registered again: they would remove it at the end of its grace period.
     void newRegistrationIsReportedAsChange()
--- a/packages/gateway/include/apricotrock/gateway.h
+++ b/packages/gateway/include/apricotrock/gateway.h
@@ -120,6 +120,9 @@
     quota::Bounds quota;
     /// Time after the acknowledgement of a configuration at which it must be in force.
     Duration configurationBound = std::chrono::milliseconds(2500);
+    /// Shortest time without an answer of the store in which registrations of backend servers can
+    /// expire.
+    Duration minStoreOutage = std::chrono::milliseconds(2250);
     /// Memory for responses of backend servers, from their first byte until the caller has them.
     std::size_t responseMemoryBytes = std::size_t(32) * 1024 * 1024;
     /// Memory for the bodies of requests, from their header until the request is finished.
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -87,7 +87,9 @@
                           }),
           loopDelay(context.metrics.histogram("apricotrock_event_loop_delay_seconds",
                                               "Delay of a periodic timer of the event loop."))
-    { }
+    {
+        context.servers.setMinOutage(settings.minStoreOutage);
+    }
 
     PeerChannel::Handlers peerHandlers()
     {
