--- a/packages/gateway/src/tableexchange.cpp
+++ b/packages/gateway/src/tableexchange.cpp
@@ -20,6 +20,8 @@
 /// Relayed updates may arrive after a heartbeat that announces them; covers several hops between
 /// small machines.
 constexpr Duration catchUpDelay = milliseconds(100);
+/// If the store has not supplied the changes within this time, the peer that told of them is asked.
+constexpr Duration peerCatchUpDelay = milliseconds(250);
 /// Number of instances of a zone that fetch a new configuration from another zone at once; the
 /// other instances of the zone wait for them for zoneFetchDelay.
 constexpr std::size_t zoneFetchers = 2;
@@ -304,10 +306,25 @@
         });
         // A datagram was lost, or the changes do not fit into one. The store returns only what is
         // missing; the peer returns all, but can be reached by an instance without the store.
-        if (m_isStoreFailing)
+        if (m_isStoreFailing) {
             fetchTables(ip, true);
-        else if (Clock::now() >= m_nextRead)
+            return;
+        }
+        if (Clock::now() >= m_nextRead)
             readServers(Duration::zero());
+        schedulePeerCatchUp(ip, position);
+    });
+}
+
+void TableSync::schedulePeerCatchUp(const std::string &ip, fleet::StorePosition position)
+{
+    if (m_isPeerCatchUpScheduled)
+        return;
+    m_isPeerCatchUpScheduled = true;
+    m_context.timers.callAfter(peerCatchUpDelay, [this, ip, position] {
+        m_isPeerCatchUpScheduled = false;
+        if (m_context.servers.position() < position)
+            fetchTables(ip, true);
     });
 }
 
--- a/packages/gateway/src/tablesync.h
+++ b/packages/gateway/src/tablesync.h
@@ -127,6 +127,8 @@
     /// Schedules a read of the changes up to \a position, which the peer at \a ip knows. It is
     /// skipped if they arrive meanwhile.
     void scheduleCatchUp(const std::string &ip, fleet::StorePosition position);
+    /// Schedules a request to the peer at \a ip for its tables, in case the store answers late.
+    void schedulePeerCatchUp(const std::string &ip, fleet::StorePosition position);
     void fetchConfiguration(const std::string &ip, std::uint64_t version);
     /// True if this instance fetches new configurations for its availability zone.
     [[nodiscard]] bool isZoneFetcher() const;
@@ -189,6 +191,7 @@
     bool m_isFetching = false;
     bool m_isFetchScheduled = false;
     bool m_isCatchUpScheduled = false;
+    bool m_isPeerCatchUpScheduled = false;
     bool m_isStoreFailing = false;
     bool m_wasReading = false;
     bool m_wasOverdue = false;
