Gateway: Wait for late answers of a quota owner before asking another

Cause: an owner that did not answer within 40 ms was suspected for 600 ms, and the next instance in rank granted tokens beside it: as the owner, at the whole rate, if it suspected the owner too, and otherwise at 0.3 of the rate.

Change: - An owner is silent after twice the longest time it took lately (late answers count), 40 ms at least, 400 ms at most. Until then the request is repeated with its ticket, which the owner answers once. - An instance takes the part of the owner only if no instance that ranks before it was heard in the last 0.8 s, suspected or not. - A stand-in does not refill while it knows an owner that answers it.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -410,6 +410,8 @@
 {
     InstanceInfo info;
     TimePoint lastHeard;
+    /// Time of the last message that came from the peer itself.
+    TimePoint lastMessage;
     bool isAlive = false;
     /// True if the peer is known through the reports of its availability zone instead of its own
     /// heartbeats.
@@ -464,6 +466,8 @@
     bool updatePeer(const InstanceInfo &info, TimePoint now);
     /// Records a message without a state report from a peer that runs as \a incarnation.
     void recordMessage(const std::string &ip, std::uint64_t incarnation, TimePoint now);
+    /// Records that the message of the last updatePeer() came from the peer itself.
+    void recordHeartbeat(const std::string &ip, TimePoint now);
     /// Applies the report of another availability zone about all of its live instances. Instances
     /// of that zone that are missing from the report and sent no recent message are marked as
     /// dead.
@@ -493,6 +497,10 @@
     /// start are candidates. The result is kept until a candidate changes.
     [[nodiscard]] std::string leaderFor(std::string_view role, bool mustReadStore,
                                         TimePoint now) const;
+    /// Returns the leader for \a role as leaderFor() does, but excludes suspected instances only if
+    /// they have sent no message for 0.8 s: an instance that is heard may still act as leader
+    /// for others. The result is not kept.
+    [[nodiscard]] std::string leaderAmongHeard(std::string_view role, TimePoint now) const;
     /// Returns the IP numbers of the live instances that accept connections from callers.
     [[nodiscard]] std::vector<std::string> serving() const;
     /// Returns the number of live instances, including this one.
@@ -523,8 +531,9 @@
         TimePoint validUntil;
     };
 
-    [[nodiscard]] KnownLeader findLeader(std::string_view role, bool mustReadStore,
-                                         TimePoint now) const;
+    /// Suspected instances without a message for \a silence are no candidates.
+    [[nodiscard]] KnownLeader findLeader(std::string_view role, bool mustReadStore, TimePoint now,
+                                         Duration silence) const;
 
     InstanceInfo m_self;
     std::map<std::string, Peer> m_peers;
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -41,6 +41,10 @@
 /// a new owner of a quota refills slowly.
 constexpr Duration zoneContactTimeout = milliseconds(800);
 
+/// A suspected instance that sent no message for this long cannot be a leader for others, as far as
+/// is known here: more than an interval of the heartbeats with its delays.
+constexpr Duration silenceTimeout = milliseconds(800);
+
 /// Returns the weighted rendezvous score: the share of roles of an instance is proportional to its
 /// weight.
 double weightedScore(std::string_view role, const std::string &ip, double weight)
@@ -118,10 +122,18 @@
     if (found == m_peers.end() || found->second.info.incarnation != incarnation)
         return;
     found->second.lastHeard = now;
+    found->second.lastMessage = now;
     m_generation += found->second.suspectUntil > now ? 1 : 0;
     found->second.suspectUntil = {};
 }
 
+void Membership::recordHeartbeat(const std::string &ip, TimePoint now)
+{
+    const auto found = m_peers.find(ip);
+    if (found != m_peers.end())
+        found->second.lastMessage = now;
+}
+
 void Membership::markSuspect(const std::string &ip, Duration length, TimePoint now)
 {
     const auto found = m_peers.find(ip);
@@ -220,17 +232,23 @@
         found = leaders.emplace(role, KnownLeader()).first;
     KnownLeader &known = found->second;
     if (known.generation != m_generation || now >= known.validUntil)
-        known = findLeader(role, mustReadStore, now);
+        known = findLeader(role, mustReadStore, now, Duration::zero());
     return known.ip;
 }
 
+std::string Membership::leaderAmongHeard(std::string_view role, TimePoint now) const
+{
+    return findLeader(role, false, now, silenceTimeout).ip;
+}
+
 Membership::KnownLeader Membership::findLeader(std::string_view role, bool mustReadStore,
-                                               TimePoint now) const
+                                               TimePoint now, Duration silence) const
 {
     KnownLeader leader{m_self.ip, m_generation, TimePoint::max()};
     std::vector<const InstanceInfo *> live{&m_self};
     for (const auto &[ip, peer] : m_peers) {
-        if (peer.isAlive && now >= peer.suspectUntil)
+        const bool isSuspect = now < peer.suspectUntil && now - peer.lastMessage >= silence;
+        if (peer.isAlive && !isSuspect)
             live.push_back(&peer.info);
         else if (peer.isAlive)
             leader.validUntil = std::min(leader.validUntil, peer.suspectUntil);
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -121,6 +121,9 @@
                 [this](const std::string &role, TimePoint now) {
                     return context.membership.leaderFor(role, false, now);
                 },
+                [this](const std::string &role, TimePoint now) {
+                    return context.membership.leaderAmongHeard(role, now);
+                },
                 [this](TimePoint now) { return context.membership.zoneContact(now); },
                 [this](const auto &ip, const auto &organisation) {
                     quotaOwnerSilent(ip, organisation);
--- a/packages/gateway/src/peerchannel.cpp
+++ b/packages/gateway/src/peerchannel.cpp
@@ -540,6 +540,7 @@
         const bool isNew = found == peers.end() || !found->second.isAlive;
         if (m_context.membership.updatePeer(toInfo(ip, *message.self), now))
             m_handlers.joined(ip);
+        m_context.membership.recordHeartbeat(ip, now);
         if (message.self->wants_instances) {
             sendInstances(ip);
             if (isNew) {
--- a/packages/gateway/src/quotaallocator.cpp
+++ b/packages/gateway/src/quotaallocator.cpp
@@ -3,6 +3,7 @@
 #include "context.h"
 
 #include <algorithm>
+#include <cmath>
 #include <unordered_set>
 
 namespace apricotrock::gateway {
@@ -16,8 +17,16 @@
 /// A request is repeated after this time: if every lost datagram made an instance ask the next
 /// owner, two owners would grant tokens at the same time. Several times the usual 2 to 4 ms.
 constexpr Duration repeatTime = milliseconds(16);
-/// An owner that has not answered within this time counts as silent; as for slot requests.
-constexpr Duration requestTimeout = milliseconds(40);
+constexpr Duration laterRepeatTime = milliseconds(40);
+/// An owner that has not answered within twice the longest time that it took lately counts as
+/// silent. The bounds of this time; the lower one is that of slot requests.
+constexpr Duration minRequestTimeout = milliseconds(40);
+constexpr Duration maxRequestTimeout = milliseconds(400);
+/// The longest time of an answer is forgotten with this half-life.
+constexpr std::chrono::duration<double> delayHalfLife{5};
+/// Answers that are later than this tell nothing about the link.
+constexpr Duration maxLateness = seconds(2);
+constexpr std::size_t maxLateRequests = 1000;
 constexpr unsigned maxSilentOwners = 2;
 /// Retry-After if no owner can be reached; other instances can decide.
 constexpr Duration unknownRetryAfter = milliseconds(100);
@@ -158,7 +167,9 @@
     const quota::Standing before = organisation.budget.standing;
     quota::Standing standing = before;
     if (isOwner)
-        standing = quota::Standing::Owner;
+        standing = before == quota::Standing::Owner || isUncontestedOwner(organisation, now)
+            ? quota::Standing::Owner
+            : before;
     else if (before == quota::Standing::Owner)
         standing = now - organisation.ownerSince < minOwnership ? quota::Standing::StandIn
                                                                 : quota::Standing::Displaced;
@@ -173,6 +184,23 @@
     quota::setStanding(organisation.budget, standing, now);
 }
 
+bool QuotaAllocator::isUncontestedOwner(const Organisation &organisation, TimePoint now) const
+{
+    return m_environment.heardOwnerOf(organisation.role, now) == m_environment.ip;
+}
+
+quota::Answer QuotaAllocator::decide(Organisation &organisation, quota::Timeliness timeliness,
+                                     TimePoint now)
+{
+    if (organisation.budget.standing == quota::Standing::StandIn) {
+        const std::string owner = m_environment.heardOwnerOf(organisation.role, now);
+        // An owner that answers grants the whole quota to those that reach it.
+        if (owner != m_environment.ip && !isSilent(owner))
+            quota::skipRefill(organisation.budget, now);
+    }
+    return quota::takeToken(organisation.budget, timeliness, random(), now);
+}
+
 bool QuotaAllocator::isIsolated(TimePoint now) const
 {
     return m_silentSince && now - *m_silentSince >= isolationTime
@@ -249,6 +277,7 @@
     }
     pending.owner = findOwner(*organisation, now);
     pending.isRepeated = false;
+    pending.sentAt = now;
     if (pending.owner != m_environment.ip) {
         send(ticket, pending);
         return;
@@ -258,8 +287,7 @@
         decideLocally(ticket, *organisation);
         return;
     }
-    const quota::Answer answer =
-        quota::takeToken(organisation->budget, pending.timeliness, random(), now);
+    const quota::Answer answer = decide(*organisation, pending.timeliness, now);
     QuotaDecision decision = grantedBy(ticket, *organisation, m_environment.ip);
     decision.verdict = answer.verdict;
     decision.retryAfter = answer.retryAfter;
@@ -272,9 +300,65 @@
                               {ticket, pending.organisation, m_configurationVersion,
                                pending.timeliness == quota::Timeliness::Late,
                                pending.isForwarded || pending.silentOwners > 0});
-    pending.timer =
-        m_environment.callAfter(pending.isRepeated ? requestTimeout - repeatTime : repeatTime,
-                                [this, ticket] { handleTimer(ticket); });
+    const TimePoint now = m_environment.now();
+    const Duration remaining = pending.sentAt + awaitedTime(pending, now) - now;
+    const Duration interval = pending.isRepeated ? laterRepeatTime : repeatTime;
+    pending.timer = m_environment.callAfter(std::min(interval, remaining),
+                                            [this, ticket] { handleTimer(ticket); });
+}
+
+Duration QuotaAllocator::awaitedTime(const PendingRequest &pending, TimePoint now) const
+{
+    return pending.silence + timeoutOf(pending.owner, now);
+}
+
+Duration QuotaAllocator::timeoutOf(const std::string &ip, TimePoint now) const
+{
+    const auto found = m_ownerDelays.find(ip);
+    if (found == m_ownerDelays.end())
+        return minRequestTimeout;
+    const std::chrono::duration<double> age = now - found->second.measured;
+    const auto longest = std::chrono::duration_cast<Duration>(found->second.longest
+                                                              * std::exp2(-age / delayHalfLife));
+    return std::clamp(2 * longest, minRequestTimeout, maxRequestTimeout);
+}
+
+void QuotaAllocator::recordDelay(const std::string &ip, Duration delay, TimePoint now)
+{
+    OwnerDelay &known = m_ownerDelays[ip];
+    if (2 * delay < timeoutOf(ip, now))
+        return;
+    known.longest = delay;
+    known.measured = now;
+}
+
+void QuotaAllocator::recordAnswer(const std::string &ip, std::uint64_t ticket, TimePoint now)
+{
+    m_ownerDelays[ip].silentSince.reset();
+    const auto late =
+        std::find_if(m_lateRequests.begin(), m_lateRequests.end(), [&](const LateRequest &each) {
+            return each.ticket == ticket && each.owner == ip;
+        });
+    if (late == m_lateRequests.end())
+        return;
+    recordDelay(ip, now - late->sentAt, now);
+    m_lateRequests.erase(late);
+}
+
+void QuotaAllocator::rememberLateRequest(std::uint64_t ticket, const PendingRequest &pending,
+                                         TimePoint now)
+{
+    while (!m_lateRequests.empty()
+           && (m_lateRequests.size() >= maxLateRequests
+               || now - m_lateRequests.front().sentAt > maxLateness))
+        m_lateRequests.pop_front();
+    m_lateRequests.push_back({ticket, pending.owner, pending.sentAt});
+}
+
+bool QuotaAllocator::isSilent(const std::string &ip) const
+{
+    const auto found = m_ownerDelays.find(ip);
+    return found != m_ownerDelays.end() && found->second.silentSince;
 }
 
 void QuotaAllocator::handleTimer(std::uint64_t ticket)
@@ -285,7 +369,8 @@
     detectPause(m_environment.now());
     PendingRequest &pending = found->second;
     pending.timer = 0;
-    if (pending.isRepeated) {
+    const TimePoint now = m_environment.now();
+    if (now >= pending.sentAt + awaitedTime(pending, now)) {
         handleSilence(ticket, pending);
         return;
     }
@@ -305,6 +390,12 @@
         return;
     }
     const std::string silent = pending.owner;
+    OwnerDelay &delay = m_ownerDelays[silent];
+    if (!delay.silentSince)
+        delay.silentSince = now;
+    rememberLateRequest(ticket, pending, now);
+    // The next owner may ask the silent one before it decides.
+    pending.silence += timeoutOf(silent, now);
     m_environment.ownerSilent(silent, organisation->name);
     const bool isLast = ++pending.silentOwners >= maxSilentOwners;
     // An owner that stays the owner is asked again with the same ticket.
@@ -414,7 +505,7 @@
         }
         const auto timeliness =
             request.is_late() ? quota::Timeliness::Late : quota::Timeliness::InTime;
-        answer = quota::takeToken(organisation->budget, timeliness, random(), now);
+        answer = decide(*organisation, timeliness, now);
         m_tickets.add(ticket, answer, now);
     } else if (m_configurationVersion <= request.configuration_version()) {
         // Not remembered: this instance may get the sender's version before a repetition.
@@ -467,10 +558,12 @@
     detectPause(now);
     m_silentSince.reset();
     const std::uint64_t ticket = response.ticket();
+    recordAnswer(ip, ticket, now);
     const auto found = m_pendingRequests.find(ticket);
     // An owner that answers late has got the return of the token.
     if (found == m_pendingRequests.end() || found->second.owner != ip)
         return;
+    recordDelay(ip, now - found->second.sentAt, now);
     Organisation *organisation = find(found->second.organisation);
     if (!organisation) {
         complete(ticket, {}, Decider::Peer);
--- a/packages/gateway/src/quotaallocator.h
+++ b/packages/gateway/src/quotaallocator.h
@@ -5,6 +5,7 @@
 #include "apricotrock/metrics.h"
 #include "apricotrock/quota.h"
 
+#include <deque>
 #include <functional>
 #include <random>
 #include <unordered_set>
@@ -34,6 +35,9 @@
     std::function<void(std::uint64_t)> cancelTimer;
     /// Returns the IP address of the instance that has \a role.
     std::function<std::string(const std::string &role, TimePoint)> ownerOf;
+    /// Returns the same among all instances that were heard lately, whether or not they are
+    /// suspected to be silent.
+    std::function<std::string(const std::string &role, TimePoint)> heardOwnerOf;
     std::function<fleet::FleetContact(TimePoint)> contact;
     /// Called with an owner that did not answer.
     std::function<void(const std::string &ip, const std::string &organisation)> ownerSilent;
@@ -124,6 +128,24 @@
         /// Received from an instance that took this one for the owner.
         bool isForwarded = false;
         unsigned silentOwners = 0;
+        /// Time of the first message to the owner, and of the timeout of earlier owners.
+        TimePoint sentAt;
+        Duration silence{};
+    };
+    /// How long an owner takes to answer.
+    struct OwnerDelay
+    {
+        Duration longest{};
+        TimePoint measured;
+        /// First time-out since the last message from the owner.
+        std::optional<TimePoint> silentSince;
+    };
+    /// A request that was not answered in time; the answer still shows how long the owner takes.
+    struct LateRequest
+    {
+        std::uint64_t ticket = 0;
+        std::string owner;
+        TimePoint sentAt;
     };
     struct Metrics
     {
@@ -152,6 +174,17 @@
     void respond(const std::string &ip, const wire::QuotaRequest &request,
                  const quota::Answer &answer);
     void send(std::uint64_t ticket, PendingRequest &pending);
+    /// Returns how long an answer to \a pending is awaited: longer if an earlier owner was silent.
+    [[nodiscard]] Duration awaitedTime(const PendingRequest &pending, TimePoint now) const;
+    /// Returns how long an answer of the owner at \a ip is awaited.
+    [[nodiscard]] Duration timeoutOf(const std::string &ip, TimePoint now) const;
+    void recordAnswer(const std::string &ip, std::uint64_t ticket, TimePoint now);
+    void recordDelay(const std::string &ip, Duration delay, TimePoint now);
+    void rememberLateRequest(std::uint64_t ticket, const PendingRequest &pending, TimePoint now);
+    /// True if the instance at \a ip left a request without an answer and sent nothing since.
+    [[nodiscard]] bool isSilent(const std::string &ip) const;
+    /// Takes a token from the budget of this instance.
+    quota::Answer decide(Organisation &organisation, quota::Timeliness timeliness, TimePoint now);
     void handleTimer(std::uint64_t ticket);
     void handleSilence(std::uint64_t ticket, PendingRequest &pending);
     void decideLocally(std::uint64_t ticket, Organisation &organisation);
@@ -160,6 +193,8 @@
                                           const std::string &owner) const;
     std::string findOwner(Organisation &organisation, TimePoint now);
     void updateStanding(Organisation &organisation, bool isOwner, TimePoint now) const;
+    /// True if no other instance that was heard lately is the owner.
+    [[nodiscard]] bool isUncontestedOwner(const Organisation &organisation, TimePoint now) const;
     /// True if nobody has answered this instance for a while.
     [[nodiscard]] bool isIsolated(TimePoint now) const;
     void detectPause(TimePoint now);
@@ -180,6 +215,8 @@
     quota::TicketMemory m_tickets;
     /// Requests of other instances that were forwarded and are not answered yet.
     std::unordered_set<quota::TicketKey, quota::TicketKeyHash> m_forwarded;
+    std::unordered_map<std::string, OwnerDelay> m_ownerDelays;
+    std::deque<LateRequest> m_lateRequests;
     std::uint64_t m_nextTicket;
     fleet::FleetContact m_contact;
     double m_share = 1;
--- a/packages/gateway/tests/quotaallocatortest.cpp
+++ b/packages/gateway/tests/quotaallocatortest.cpp
@@ -59,6 +59,9 @@
             environment.ownerOf = [this](const std::string &role, TimePoint now) {
                 return membership.leaderFor(role, false, now);
             };
+            environment.heardOwnerOf = [this](const std::string &role, TimePoint now) {
+                return membership.leaderAmongHeard(role, now);
+            };
             environment.contact = [this](TimePoint now) { return membership.zoneContact(now); };
             environment.ownerSilent = [this](const std::string &silent, const std::string &) {
                 if (fleet.m_now - membership.peers().at(silent).lastHeard > 40ms)
@@ -204,6 +207,10 @@
     std::list<Load> &loads() { return m_loads; }
     TimePoint now() const { return m_now; }
     double lossRate = 0;
+    /// Each datagram is on the way for one of these times longer, so that the order changes.
+    std::vector<Duration> delays{Duration::zero()};
+    /// Part of the datagrams that arrive twice.
+    double repeatRate = 0;
     /// The availability zones that are partitioned from the others.
     std::set<std::string> cutZones;
     std::size_t quotaDatagrams = 0;
@@ -266,18 +273,22 @@
         Node &to = find(ip);
         if (!from.canSend || !to.canReceive || !from.isAlive || !to.isAlive || uniform() < lossRate)
             return;
-        if (isInCutZone(from) != isInCutZone(to))
+        if (isIn(cutZones, from) != isIn(cutZones, to))
             return;
         const Duration latency = from.index % 4 == to.index % 4 ? 200us : 900us;
-        runAt(to, m_now + latency,
-              [this, &to, receive, sender = from.ip, id = from.membership.self().incarnation] {
-                  to.membership.recordMessage(sender, id, m_now);
-                  receive(to);
-              });
+        const unsigned copies = repeatRate > 0 && uniform() < repeatRate ? 2 : 1;
+        for (unsigned i = 0; i < copies; ++i) {
+            const Duration delay = delays.size() > 1 ? delays[random(delays.size())] : delays[0];
+            runAt(to, m_now + latency + delay,
+                  [this, &to, receive, sender = from.ip, id = from.membership.self().incarnation] {
+                      to.membership.recordMessage(sender, id, m_now);
+                      receive(to);
+                  });
+        }
     }
-    bool isInCutZone(const Node &node) const
+    static bool isIn(const std::set<std::string> &zones, const Node &node)
     {
-        return cutZones.contains(node.membership.self().availabilityZone);
+        return zones.contains(node.membership.self().availabilityZone);
     }
     /// Tells \a ip about \a node, and \a node about it.
     void sayHello(Node &node, const std::string &ip, bool wantsInstances)
@@ -475,6 +486,9 @@
     CPPUNIT_TEST(isolatedInstances);
     CPPUNIT_TEST(instancesCutOffInOneDirection);
     CPPUNIT_TEST(zonesCutOff);
+    CPPUNIT_TEST(unequalDelays);
+    CPPUNIT_TEST(delaysBesideACut);
+    CPPUNIT_TEST(constantDelay);
     CPPUNIT_TEST(twoOwners);
     CPPUNIT_TEST(loweredQuota);
     CPPUNIT_TEST(lostDatagrams);
@@ -624,6 +638,57 @@
         }
     }
 
+    // Guards against a second owner beside one whose answers are late, with no fault of any
+    // instance. The buckets are full when the load begins.
+    void unequalDelays()
+    {
+        for (const std::vector<Duration> &delays :
+             {std::vector<Duration>{0ms, 10ms, 40ms}, {0ms, 10ms, 100ms}, {0ms, 300ms}}) {
+            for (const std::size_t size : {8U, 28U, 123U}) {
+                for (const quota::Limit &limit : {quota::Limit{40, 40}, largeLimit}) {
+                    Fleet fleet(size);
+                    fleet.delays = delays;
+                    fleet.repeatRate = 0.05;
+                    addTenants(fleet, limit);
+                    fleet.run(12s);
+                    expectTenants(fleet, limit, 0.8,
+                                  std::to_string(size) + " instances, up to "
+                                      + std::to_string(delays.back() / 1ms) + " ms");
+                }
+            }
+        }
+    }
+
+    // The same beside a cut of one zone.
+    void delaysBesideACut()
+    {
+        for (const std::vector<Duration> &delays :
+             {std::vector<Duration>{0ms, 10ms, 40ms}, {0ms, 10ms, 100ms}, {0ms, 300ms}}) {
+            for (const Duration length : {Duration(1s), Duration(5s)}) {
+                Fleet fleet(28);
+                fleet.delays = delays;
+                addTenants(fleet, {40, 40});
+                fleet.at(4s, [&] { fleet.cutZones = {"3"}; });
+                fleet.at(4s + length, [&] { fleet.cutZones.clear(); });
+                fleet.run(10s + length);
+                expectTenants(fleet, {40, 40}, 0,
+                              "cut, up to " + std::to_string(delays.back() / 1ms) + " ms");
+            }
+        }
+    }
+
+    // Guards against refusing requests within the quota because the owner is in another region.
+    void constantDelay()
+    {
+        for (const Duration delay : {Duration(30ms), Duration(100ms)}) {
+            Fleet fleet(28);
+            fleet.delays = {delay};
+            addTenants(fleet, {40, 40});
+            fleet.run(14s);
+            expectTenants(fleet, {40, 40}, 0.97, std::to_string(delay / 1ms) + " ms");
+        }
+    }
+
     // Guards against a bound that holds only while all instances agree on the owner.
     void twoOwners()
     {
@@ -728,6 +793,28 @@
     }
 
 private:
+    /// Adds organisations that send three times their quota from 3 s on.
+    static void addTenants(Fleet &fleet, const quota::Limit &limit)
+    {
+        for (int i = 0; i < 8; ++i) {
+            fleet.addLoad("tenant-" + std::to_string(i), limit, [limit](Duration time) {
+                return time > 3s ? 3 * limit.rate : limit.rate / 2;
+            });
+        }
+    }
+    /// Expects no window beyond the bound, and at least \a share of the quota in the long run.
+    static void expectTenants(Fleet &fleet, const quota::Limit &limit, double share,
+                              const std::string &what)
+    {
+        double granted = 0;
+        for (const Fleet::Load &each : fleet.loads()) {
+            assertWithin(1, worstWindow(each, limit), what);
+            granted += grantedBetween(each, 6s, 12s) / limit.rate
+                / static_cast<double>(fleet.loads().size());
+        }
+        assertAtLeast(share, granted, what + ", granted");
+    }
+
     /// Partitions \a zones from the others for \a length while each of several organisations,
     /// whose owners are on either side, sends three times its quota.
     static void expectWithinQuota(std::size_t size, const std::set<std::string> &zones,
--- a/packages/quota/include/apricotrock/quota.h
+++ b/packages/quota/include/apricotrock/quota.h
@@ -98,6 +98,8 @@
 void setLimit(Budget &budget, const Limit &limit, TimePoint now);
 void setStanding(Budget &budget, Standing standing, TimePoint now);
 void setShare(Budget &budget, double share, TimePoint now);
+/// Drops the tokens of the time since the last request: another instance grants them.
+void skipRefill(Budget &budget, TimePoint now);
 /// Called after a pause of the process that ended at \a now: another instance may have granted the
 /// tokens of that time, so that they are not refilled and the level is at most the start level.
 void skipPause(Budget &budget, TimePoint now);
--- a/packages/quota/src/budget.cpp
+++ b/packages/quota/src/budget.cpp
@@ -185,6 +185,11 @@
     budget.share = share;
 }
 
+void skipRefill(Budget &budget, TimePoint now)
+{
+    budget.updated = std::max(budget.updated, now);
+}
+
 void skipPause(Budget &budget, TimePoint now)
 {
     budget.updated = now;
