Fleet: Do not count zones that do not hear this one as reached

Cause: an availability zone counted as reached if it was heard. The side that still heard the other one kept the whole quota beside an owner of the other side.

Change: heartbeats and zone reports name the zones that their sender has not heard for 0.8 s. Peers that named the own zone in the last 1.3 s do not count as reached, so that both sides use their shares of the quota.

After: all cuts of 1, 5 and 20 s with 12, 28 and 123 instances stay within the bound.

--- a/packages/fleet/include/apricotrock/fleet.h
+++ b/packages/fleet/include/apricotrock/fleet.h
@@ -412,6 +412,8 @@
     TimePoint lastHeard;
     /// Time of the last message that came from the peer itself.
     TimePoint lastMessage;
+    /// Until then, the peer counts as one that does not hear the own availability zone.
+    TimePoint deafUntil;
     bool isAlive = false;
     /// True if the peer is known through the reports of its availability zone instead of its own
     /// heartbeats.
@@ -468,6 +470,14 @@
     void recordMessage(const std::string &ip, std::uint64_t incarnation, TimePoint now);
     /// Records that the message of the last updatePeer() came from the peer itself.
     void recordHeartbeat(const std::string &ip, TimePoint now);
+    /// Returns the availability zones with an instance that should be heard, but none was lately.
+    [[nodiscard]] std::vector<std::string> unheardZones(TimePoint now) const;
+    /// Records that the peer at \a ip, or all peers of \a availabilityZone, said that they do not
+    /// hear the zones in \a unheard.
+    void recordUnheardZones(const std::string &ip, const std::vector<std::string> &unheard,
+                            TimePoint now);
+    void recordUnheardZonesOf(const std::string &availabilityZone,
+                              const std::vector<std::string> &unheard, TimePoint now);
     /// Applies the report of another availability zone about all of its live instances. Instances
     /// of that zone that are missing from the report and sent no recent message are marked as
     /// dead.
@@ -513,8 +523,9 @@
     [[nodiscard]] FleetContact recentContact(TimePoint now) const;
     /// Returns the contact for limits that two separated parts of the fleet must not exceed
     /// together: the instances of another availability zone count as alive only if one of them was
-    /// heard less than 0.8 s ago. This shows a partition between zones before its instances count
-    /// as lost. Lost instances are known for as long as they are kept, 60 s.
+    /// heard less than 0.8 s ago, and those that said that they do not hear the own zone do not
+    /// count. This shows a partition between zones, also in one direction only, before its
+    /// instances count as lost. Lost instances are known for as long as they are kept, 60 s.
     [[nodiscard]] FleetContact zoneContact(TimePoint now) const;
     /// Returns the IP numbers of the other instances that accept connections from callers: those
     /// alive, or if there are none, those that count as known in contact().
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -41,6 +41,9 @@
 /// a new owner of a quota refills slowly.
 constexpr Duration zoneContactTimeout = milliseconds(800);
 
+/// How long a message counts in which a peer says that it does not hear the own zone: two intervals
+/// of such messages with their delays.
+constexpr Duration deafnessTimeout = milliseconds(1300);
 /// A suspected instance that sent no message for this long cannot be a leader for others, as far as
 /// is known here: more than an interval of the heartbeats with its delays.
 constexpr Duration silenceTimeout = milliseconds(800);
@@ -134,6 +137,43 @@
         found->second.lastMessage = now;
 }
 
+std::vector<std::string> Membership::unheardZones(TimePoint now) const
+{
+    std::map<std::string_view, TimePoint> lastHeard;
+    for (const auto &[ip, peer] : m_peers) {
+        if (!peer.isAlive && !peer.lostAt)
+            continue;
+        TimePoint &last = lastHeard[peer.info.availabilityZone];
+        last = std::max(last, peer.lastHeard);
+    }
+    std::vector<std::string> zones;
+    for (const auto &[zone, last] : lastHeard) {
+        if (zone != m_self.availabilityZone && now - last >= zoneContactTimeout)
+            zones.emplace_back(zone);
+    }
+    return zones;
+}
+
+void Membership::recordUnheardZones(const std::string &ip, const std::vector<std::string> &unheard,
+                                    TimePoint now)
+{
+    const auto found = m_peers.find(ip);
+    if (found == m_peers.end())
+        return;
+    const bool isDeaf =
+        std::find(unheard.begin(), unheard.end(), m_self.availabilityZone) != unheard.end();
+    found->second.deafUntil = isDeaf ? now + deafnessTimeout : TimePoint();
+}
+
+void Membership::recordUnheardZonesOf(const std::string &availabilityZone,
+                                      const std::vector<std::string> &unheard, TimePoint now)
+{
+    for (const auto &[ip, peer] : m_peers) {
+        if (peer.info.availabilityZone == availabilityZone)
+            recordUnheardZones(ip, unheard, now);
+    }
+}
+
 void Membership::markSuspect(const std::string &ip, Duration length, TimePoint now)
 {
     const auto found = m_peers.find(ip);
@@ -327,7 +367,7 @@
         if (!peer.isAlive)
             continue;
         Zone &zone = zones[peer.info.availabilityZone];
-        ++zone.alive;
+        zone.alive += now < peer.deafUntil ? 0 : 1;
         zone.lastHeard = std::max(zone.lastHeard, peer.lastHeard);
     }
     for (const auto &[name, zone] : zones) {
--- a/packages/fleet/tests/membershiptest.cpp
+++ b/packages/fleet/tests/membershiptest.cpp
@@ -21,6 +21,23 @@
     return info;
 }
 
+InstanceInfo makeZoneInfo(const std::string &ip, const std::string &availabilityZone)
+{
+    InstanceInfo info = makeInfo(ip);
+    info.availabilityZone = availabilityZone;
+    return info;
+}
+
+/// Returns a role whose leader is the instance at \a ip.
+std::string roleOf(const Membership &membership, const std::string &ip, TimePoint now)
+{
+    std::string role;
+    do {
+        role += 'r';
+    } while (membership.leaderFor(role, false, now) != ip);
+    return role;
+}
+
 bool contains(const std::vector<std::string> &list, const std::string &item)
 {
     return std::find(list.begin(), list.end(), item) != list.end();
@@ -47,6 +64,8 @@
     CPPUNIT_TEST(startingInstancesAgreeOnALeader);
     CPPUNIT_TEST(leaderFollowsEveryChangeOfTheCandidates);
     CPPUNIT_TEST(recentlyLostInstancesAreKnown);
+    CPPUNIT_TEST(zoneThatDoesNotHearThisOneIsNotReached);
+    CPPUNIT_TEST(suspectedInstanceThatIsHeardStaysLeader);
     CPPUNIT_TEST(instanceThatHearsNobodyReachesOnlyItself);
     CPPUNIT_TEST(zoneThatIsNotHeardIsNotReached);
     CPPUNIT_TEST_SUITE_END();
@@ -83,11 +102,6 @@
     // heard.
     void zoneThatIsNotHeardIsNotReached()
     {
-        const auto makeZoneInfo = [](const std::string &ip, const std::string &zone) {
-            InstanceInfo info = makeInfo(ip);
-            info.availabilityZone = zone;
-            return info;
-        };
         Membership membership(makeZoneInfo("10.0.0.1", "a"));
         membership.updatePeer(makeZoneInfo("10.0.0.2", "a"), m_now);
         for (int i = 1; i <= 4; ++i)
@@ -99,6 +113,42 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(6), membership.zoneContact(m_now + 1s).alive);
     }
 
+    // Guards against using the limits of the whole fleet beside a zone that is heard, but does not
+    // hear this instance and has an owner of its own.
+    void zoneThatDoesNotHearThisOneIsNotReached()
+    {
+        Membership membership(makeZoneInfo("10.0.0.1", "a"));
+        membership.updatePeer(makeZoneInfo("10.0.1.1", "b"), m_now);
+        membership.updatePeer(makeZoneInfo("10.0.1.2", "b"), m_now);
+        CPPUNIT_ASSERT(membership.unheardZones(m_now + 799ms).empty());
+        CPPUNIT_ASSERT(membership.unheardZones(m_now + 800ms) == std::vector<std::string>{"b"});
+        membership.recordUnheardZones("10.0.1.1", {"a"}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), membership.zoneContact(m_now).alive);
+        membership.recordUnheardZonesOf("b", {"a", "c"}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), membership.zoneContact(m_now).alive);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), membership.zoneContact(m_now).known);
+        membership.recordUnheardZonesOf("b", {"c"}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), membership.zoneContact(m_now).alive);
+        membership.recordUnheardZonesOf("b", {"a"}, m_now);
+        membership.updatePeer(makeZoneInfo("10.0.1.1", "b"), m_now + 1300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), membership.zoneContact(m_now + 1300ms).alive);
+    }
+
+    // Guards against a suspected instance and the next one acting as leader at the same time.
+    void suspectedInstanceThatIsHeardStaysLeader()
+    {
+        Membership membership(makeInfo("10.0.0.1"));
+        membership.updatePeer(makeInfo("10.0.0.2"), m_now);
+        const std::string role = roleOf(membership, "10.0.0.2", m_now);
+        membership.recordHeartbeat("10.0.0.2", m_now);
+        membership.markSuspect("10.0.0.2", 2s, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"), membership.leaderFor(role, false, m_now));
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2"),
+                             membership.leaderAmongHeard(role, m_now + 799ms));
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1"),
+                             membership.leaderAmongHeard(role, m_now + 800ms));
+    }
+
     // Guards against an instance that uses the limits of the whole fleet after it was cut off,
     // until its peers count as lost, or after its start, until it has heard those that it was told
     // of.
--- a/packages/gateway/src/peerchannel.cpp
+++ b/packages/gateway/src/peerchannel.cpp
@@ -114,6 +114,7 @@
     message.self->phase = static_cast<std::uint8_t>(self.phase);
     message.self->weight = static_cast<float>(self.weight);
     message.self->can_read_store = self.canReadStore;
+    message.unheard_zones = m_context.membership.unheardZones(Clock::now());
     addTables(message);
     return message;
 }
@@ -439,6 +440,7 @@
         report->can_read_store = each.canReadStore;
         message.zone_report->instances.push_back(std::move(report));
     }
+    message.unheard_zones = m_context.membership.unheardZones(Clock::now());
     for (const std::string &zone : otherZones())
         sendToZone(zone, message);
 }
@@ -541,6 +543,7 @@
         if (m_context.membership.updatePeer(toInfo(ip, *message.self), now))
             m_handlers.joined(ip);
         m_context.membership.recordHeartbeat(ip, now);
+        m_context.membership.recordUnheardZones(ip, message.unheard_zones, now);
         if (message.self->wants_instances) {
             sendInstances(ip);
             if (isNew) {
@@ -555,8 +558,11 @@
     } else {
         m_context.membership.recordMessage(ip, message.incarnation, now);
     }
-    if (message.zone_report)
+    if (message.zone_report) {
         handleZoneReport(*message.zone_report);
+        m_context.membership.recordUnheardZonesOf(message.zone_report->availability_zone,
+                                                  message.unheard_zones, now);
+    }
     for (const auto &each : message.instances)
         addPeer(each->ip, each->availability_zone, false);
     if (!message.leaving.empty())
--- a/packages/gateway/tests/quotaallocatortest.cpp
+++ b/packages/gateway/tests/quotaallocatortest.cpp
@@ -213,6 +213,9 @@
     double repeatRate = 0;
     /// The availability zones that are partitioned from the others.
     std::set<std::string> cutZones;
+    /// The availability zones whose messages do not reach the others, or that get none of them.
+    std::set<std::string> unheardZones;
+    std::set<std::string> deafZones;
     std::size_t quotaDatagrams = 0;
 
 private:
@@ -273,7 +276,9 @@
         Node &to = find(ip);
         if (!from.canSend || !to.canReceive || !from.isAlive || !to.isAlive || uniform() < lossRate)
             return;
-        if (isIn(cutZones, from) != isIn(cutZones, to))
+        if (isIn(cutZones, from) != isIn(cutZones, to)
+            || (isIn(unheardZones, from) && !isIn(unheardZones, to))
+            || (isIn(deafZones, to) && !isIn(deafZones, from)))
             return;
         const Duration latency = from.index % 4 == to.index % 4 ? 200us : 900us;
         const unsigned copies = repeatRate > 0 && uniform() < repeatRate ? 2 : 1;
@@ -328,17 +333,20 @@
         const auto zone = node.membership.self().availabilityZone;
         const bool usesReports = node.membership.usesZoneReports();
         const auto own = node.membership.instancesInZone(zone);
+        const auto unheard = node.membership.unheardZones(m_now);
         for (const auto &other : m_nodes) {
             if (other.get() != &node && !node.membership.peers().contains(other->ip))
                 continue;
             const bool isInZone = other->membership.self().availabilityZone == zone;
             if (isInZone || !usesReports) {
-                send(node, other->ip, [this, info = node.membership.self()](Node &to) {
+                send(node, other->ip, [this, info = node.membership.self(), unheard](Node &to) {
                     to.membership.updatePeer(info, m_now);
+                    to.membership.recordUnheardZones(info.ip, unheard, m_now);
                 });
             } else if (own.front().ip == node.ip) {
-                send(node, other->ip, [this, zone, own](Node &to) {
+                send(node, other->ip, [this, zone, own, unheard](Node &to) {
                     to.membership.applyZoneReport(zone, own, m_now);
+                    to.membership.recordUnheardZonesOf(zone, unheard, m_now);
                 });
             }
         }
@@ -489,6 +497,7 @@
     CPPUNIT_TEST(unequalDelays);
     CPPUNIT_TEST(delaysBesideACut);
     CPPUNIT_TEST(constantDelay);
+    CPPUNIT_TEST(oneWayCuts);
     CPPUNIT_TEST(twoOwners);
     CPPUNIT_TEST(loweredQuota);
     CPPUNIT_TEST(lostDatagrams);
@@ -689,6 +698,35 @@
         }
     }
 
+    // Guards against owners on either side of a cut in one direction, each of which takes the whole
+    // fleet for its own. Afterwards everybody finds the one owner again.
+    void oneWayCuts()
+    {
+        for (const std::size_t size : {12U, 28U, 123U}) {
+            for (const bool isDeaf : {false, true}) {
+                for (const std::set<std::string> &zones :
+                     {std::set<std::string>{"3"}, std::set<std::string>{"2", "3"}}) {
+                    for (const Duration length : {Duration(1s), Duration(5s), Duration(20s)}) {
+                        Fleet fleet(size);
+                        addTenants(fleet, {40, 40});
+                        fleet.at(4s,
+                                 [&] { (isDeaf ? fleet.deafZones : fleet.unheardZones) = zones; });
+                        fleet.at(4s + length, [&] {
+                            fleet.deafZones.clear();
+                            fleet.unheardZones.clear();
+                        });
+                        fleet.run(12s + length);
+                        const std::string what = std::to_string(size) + " instances, "
+                            + std::to_string(zones.size()) + (isDeaf ? " deaf" : " unheard")
+                            + " zones, " + std::to_string(length / 1ms) + " ms";
+                        for (const Fleet::Load &each : fleet.loads())
+                            assertWithin(1, worstWindow(each, {40, 40}), what);
+                    }
+                }
+            }
+        }
+    }
+
     // Guards against a bound that holds only while all instances agree on the owner.
     void twoOwners()
     {
--- a/packages/wire/include/apricotrock/gateway_generated.h
+++ b/packages/wire/include/apricotrock/gateway_generated.h
@@ -1547,6 +1547,7 @@
   std::vector<apricotrock::wire::QuotaResponse> quota_responses{};
   std::vector<apricotrock::wire::QuotaReturn> quota_returns{};
   std::vector<std::unique_ptr<apricotrock::wire::EvacuationOrderT>> evacuations{};
+  std::vector<std::string> unheard_zones{};
   GatewayMessageT() = default;
   GatewayMessageT(const GatewayMessageT &o);
   GatewayMessageT(GatewayMessageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1577,7 +1578,8 @@
     VT_QUOTA_REQUESTS = 36,
     VT_QUOTA_RESPONSES = 38,
     VT_QUOTA_RETURNS = 40,
-    VT_EVACUATIONS = 42
+    VT_EVACUATIONS = 42,
+    VT_UNHEARD_ZONES = 44
   };
   const apricotrock::wire::SenderReport *self() const {
     return GetPointer<const apricotrock::wire::SenderReport *>(VT_SELF);
@@ -1639,6 +1641,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>> *evacuations() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>> *>(VT_EVACUATIONS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *unheard_zones() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_UNHEARD_ZONES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SELF) &&
@@ -1679,6 +1684,9 @@
            VerifyOffset(verifier, VT_EVACUATIONS) &&
            verifier.VerifyVector(evacuations()) &&
            verifier.VerifyVectorOfTables(evacuations()) &&
+           VerifyOffset(verifier, VT_UNHEARD_ZONES) &&
+           verifier.VerifyVector(unheard_zones()) &&
+           verifier.VerifyVectorOfStrings(unheard_zones()) &&
            verifier.EndTable();
   }
   GatewayMessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1750,6 +1758,9 @@
   void add_evacuations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>>> evacuations) {
     fbb_.AddOffset(GatewayMessage::VT_EVACUATIONS, evacuations);
   }
+  void add_unheard_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unheard_zones) {
+    fbb_.AddOffset(GatewayMessage::VT_UNHEARD_ZONES, unheard_zones);
+  }
   explicit GatewayMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1782,10 +1793,12 @@
     flatbuffers::Offset<flatbuffers::Vector<const apricotrock::wire::QuotaRequest *>> quota_requests = 0,
     flatbuffers::Offset<flatbuffers::Vector<const apricotrock::wire::QuotaResponse *>> quota_responses = 0,
     flatbuffers::Offset<flatbuffers::Vector<const apricotrock::wire::QuotaReturn *>> quota_returns = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>>> evacuations = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>>> evacuations = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> unheard_zones = 0) {
   GatewayMessageBuilder builder_(_fbb);
   builder_.add_updates_from(updates_from);
   builder_.add_incarnation(incarnation);
+  builder_.add_unheard_zones(unheard_zones);
   builder_.add_evacuations(evacuations);
   builder_.add_quota_returns(quota_returns);
   builder_.add_quota_responses(quota_responses);
@@ -1833,7 +1846,8 @@
     const std::vector<apricotrock::wire::QuotaRequest> *quota_requests = nullptr,
     const std::vector<apricotrock::wire::QuotaResponse> *quota_responses = nullptr,
     const std::vector<apricotrock::wire::QuotaReturn> *quota_returns = nullptr,
-    const std::vector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>> *evacuations = nullptr) {
+    const std::vector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>> *evacuations = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *unheard_zones = nullptr) {
   auto asks__ = asks ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotRequest>(*asks) : 0;
   auto answers__ = answers ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotResponse>(*answers) : 0;
   auto ends__ = ends ? _fbb.CreateVectorOfStructs<apricotrock::wire::SlotRelease>(*ends) : 0;
@@ -1846,6 +1860,7 @@
   auto quota_responses__ = quota_responses ? _fbb.CreateVectorOfStructs<apricotrock::wire::QuotaResponse>(*quota_responses) : 0;
   auto quota_returns__ = quota_returns ? _fbb.CreateVectorOfStructs<apricotrock::wire::QuotaReturn>(*quota_returns) : 0;
   auto evacuations__ = evacuations ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>>(*evacuations) : 0;
+  auto unheard_zones__ = unheard_zones ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*unheard_zones) : 0;
   return apricotrock::wire::CreateGatewayMessage(
       _fbb,
       self,
@@ -1867,7 +1882,8 @@
       quota_requests__,
       quota_responses__,
       quota_returns__,
-      evacuations__);
+      evacuations__,
+      unheard_zones__);
 }
 
 flatbuffers::Offset<GatewayMessage> CreateGatewayMessage(flatbuffers::FlatBufferBuilder &_fbb, const GatewayMessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2216,7 +2232,8 @@
         relay(o.relay),
         quota_requests(o.quota_requests),
         quota_responses(o.quota_responses),
-        quota_returns(o.quota_returns) {
+        quota_returns(o.quota_returns),
+        unheard_zones(o.unheard_zones) {
   instances.reserve(o.instances.size());
   for (const auto &instances_ : o.instances) { instances.emplace_back((instances_) ? new apricotrock::wire::InstanceAddressT(*instances_) : nullptr); }
   leaving.reserve(o.leaving.size());
@@ -2248,6 +2265,7 @@
   std::swap(quota_responses, o.quota_responses);
   std::swap(quota_returns, o.quota_returns);
   std::swap(evacuations, o.evacuations);
+  std::swap(unheard_zones, o.unheard_zones);
   return *this;
 }
 
@@ -2280,6 +2298,7 @@
   { auto _e = quota_responses(); if (_e) { _o->quota_responses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quota_responses[_i] = *_e->Get(_i); } } }
   { auto _e = quota_returns(); if (_e) { _o->quota_returns.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quota_returns[_i] = *_e->Get(_i); } } }
   { auto _e = evacuations(); if (_e) { _o->evacuations.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evacuations[_i] = std::unique_ptr<apricotrock::wire::EvacuationOrderT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = unheard_zones(); if (_e) { _o->unheard_zones.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unheard_zones[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<GatewayMessage> GatewayMessage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GatewayMessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2310,6 +2329,7 @@
   auto _quota_responses = _o->quota_responses.size() ? _fbb.CreateVectorOfStructs(_o->quota_responses) : 0;
   auto _quota_returns = _o->quota_returns.size() ? _fbb.CreateVectorOfStructs(_o->quota_returns) : 0;
   auto _evacuations = _o->evacuations.size() ? _fbb.CreateVector<flatbuffers::Offset<apricotrock::wire::EvacuationOrder>> (_o->evacuations.size(), [](size_t i, _VectorArgs *__va) { return CreateEvacuationOrder(*__va->__fbb, __va->__o->evacuations[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _unheard_zones = _o->unheard_zones.size() ? _fbb.CreateVectorOfStrings(_o->unheard_zones) : 0;
   return apricotrock::wire::CreateGatewayMessage(
       _fbb,
       _self,
@@ -2331,7 +2351,8 @@
       _quota_requests,
       _quota_responses,
       _quota_returns,
-      _evacuations);
+      _evacuations,
+      _unheard_zones);
 }
 
 inline const apricotrock::wire::GatewayMessage *GetGatewayMessage(const void *buf) {
