--- a/packages/gateway/include/apricotrock/gateway.h
+++ b/packages/gateway/include/apricotrock/gateway.h
@@ -118,6 +118,9 @@
     broker::Policy policy;
     /// Bounds of the requests of an organisation, summed over all instances.
     quota::Bounds quota;
+    /// Version of the program, and digest of the sources that it is made of; shown in the metrics.
+    std::string version;
+    std::string sourceDigest;
     /// Time after the acknowledgement of a configuration at which it must be in force.
     Duration configurationBound = std::chrono::milliseconds(2500);
     /// Shortest time without an answer of the store in which registrations of backend servers can
--- a/packages/gateway/src/gateway.cpp
+++ b/packages/gateway/src/gateway.cpp
@@ -89,6 +89,10 @@
                                               "Delay of a periodic timer of the event loop."))
     {
         context.servers.setMinOutage(settings.minStoreOutage);
+        context.metrics.gauge("apricotrock_build_info",
+                              "1, with the version of the program and the digest of its sources.",
+                              {{"version", settings.version}, {"sources", settings.sourceDigest}},
+                              [] { return 1; });
     }
 
     PeerChannel::Handlers peerHandlers()
