Gateway: Record answer times only of instances that were asked

A response of any sender added an entry to the table of answer times, which was bounded by nothing but the number of addresses. QuotaAllocatorTest passes.

--- a/packages/gateway/src/quotaallocator.cpp
+++ b/packages/gateway/src/quotaallocator.cpp
@@ -17,15 +17,17 @@
 /// A request is repeated after this time: if every lost datagram made an instance ask the next
 /// owner, two owners would grant tokens at the same time. Several times the usual 2 to 4 ms.
 constexpr Duration repeatTime = milliseconds(16);
+/// Interval of further repetitions, which are needed only over slow links.
 constexpr Duration laterRepeatTime = milliseconds(40);
 /// An owner that has not answered within twice the longest time that it took lately counts as
-/// silent. The bounds of this time; the lower one is that of slot requests.
+/// silent. These are the bounds; the lower one is the timeout of slot requests.
 constexpr Duration minRequestTimeout = milliseconds(40);
 constexpr Duration maxRequestTimeout = milliseconds(400);
 /// The longest time of an answer is forgotten with this half-life.
 constexpr std::chrono::duration<double> delayHalfLife{5};
 /// Answers that are later than this tell nothing about the link.
 constexpr Duration maxLateness = seconds(2);
+/// Bound of the unanswered requests that are remembered for that.
 constexpr std::size_t maxLateRequests = 1000;
 constexpr unsigned maxSilentOwners = 2;
 /// Retry-After if no owner can be reached; other instances can decide.
@@ -334,7 +336,10 @@
 
 void QuotaAllocator::recordAnswer(const std::string &ip, std::uint64_t ticket, TimePoint now)
 {
-    m_ownerDelays[ip].silentSince.reset();
+    const auto known = m_ownerDelays.find(ip);
+    if (known == m_ownerDelays.end())
+        return;
+    known->second.silentSince.reset();
     const auto late =
         std::find_if(m_lateRequests.begin(), m_lateRequests.end(), [&](const LateRequest &each) {
             return each.ticket == ticket && each.owner == ip;
