--- a/cmake/SourceDigest.cmake
+++ b/cmake/SourceDigest.cmake
@@ -30,6 +30,7 @@
 endfunction()
 
 if(CMAKE_SCRIPT_MODE_FILE STREQUAL CMAKE_CURRENT_LIST_FILE)
+    cmake_minimum_required(VERSION 3.25)
     apricotrock_source_manifest(manifest)
     apricotrock_manifest_digest("${manifest}" digest)
     if(OUTPUT)
